--- /dev/null
+++ b/lacewingcross/checks.py
@@ -0,0 +1,177 @@
+"""Typed reading of JSON objects, with errors that name the field and expectation."""
+
+import ipaddress
+from collections.abc import Iterator
+
+from .errors import UserError
+
+REQUIRED = object()
+
+
+class Reader:
+    """Take the fields of one JSON object one by one.
+
+    Parameters
+    ----------
+    data : object
+        Decoded JSON; anything but an object is refused.
+    where : str
+        Path shown in errors, such as ``host.json: peers[2]``.
+    error : type of UserError
+        Raised when a field is missing, of the wrong type or unknown.
+    """
+
+    __slots__ = ("_data", "_error", "_seen", "where")
+
+    def __init__(self, data: object, where: str, error: type[UserError]) -> None:
+        self.where = where
+        self._error = error
+        if not isinstance(data, dict):
+            raise self.fail("", "an object", data)
+        self._data = data
+        self._seen: set[str] = set()
+
+    def fail(self, field: str, expected: str, got: object) -> UserError:
+        """Return the error for `field`, saying what was expected."""
+        path = f"{self.where}.{field}" if field else self.where
+        shown = "nothing" if got is REQUIRED else repr(got)[:80]
+        return self._error("bad-field", f"{path}: expected {expected}, got {shown}")
+
+    def _take(self, field: str, default: object) -> object:
+        self._seen.add(field)
+        return self._data.get(field, default)
+
+    def text(
+        self, field: str, default: object = REQUIRED, choices: tuple[str, ...] = ()
+    ) -> str:
+        """Return a non-empty string, one of `choices` when these are given."""
+        value = self._take(field, default)
+        if value is default and default is not REQUIRED:
+            return value
+        if not isinstance(value, str) or not value:
+            raise self.fail(field, "a non-empty string", value)
+        if choices and value not in choices:
+            raise self.fail(field, "one of " + ", ".join(choices), value)
+        return value
+
+    def name(self, field: str, default: object = REQUIRED) -> str:
+        """Return a string of letters, digits, ``.``, ``_`` and ``-``."""
+        value = self.text(field, default)
+        if value is not default and not is_name(value):
+            raise self.fail(field, "a name of letters, digits, '.', '_', '-'", value)
+        return value
+
+    def number(
+        self,
+        field: str,
+        default: object = REQUIRED,
+        low: float = 0.0,
+        high: float = 1e12,
+    ) -> float:
+        """Return a number between `low` and `high`, both included."""
+        value = self._take(field, default)
+        if value is default and default is not REQUIRED:
+            return value
+        good = isinstance(value, int | float) and not isinstance(value, bool)
+        if not good or not low <= value <= high:
+            raise self.fail(field, f"a number from {low:g} to {high:g}", value)
+        return float(value)
+
+    def integer(
+        self, field: str, default: object = REQUIRED, low: int = 0, high: int = 10**9
+    ) -> int:
+        """Return a whole number between `low` and `high`, both included."""
+        value = self._take(field, default)
+        if value is default and default is not REQUIRED:
+            return value
+        good = isinstance(value, int) and not isinstance(value, bool)
+        if not good or not low <= value <= high:
+            raise self.fail(field, f"a whole number from {low} to {high}", value)
+        return value
+
+    def boolean(self, field: str, default: object = REQUIRED) -> bool:
+        """Return true or false."""
+        value = self._take(field, default)
+        if not isinstance(value, bool):
+            raise self.fail(field, "true or false", value)
+        return value
+
+    def address(self, field: str, default: object = REQUIRED) -> str:
+        """Return ``ip:port`` as it was written."""
+        value = self.text(field, default)
+        if value is not default and not is_address(value):
+            raise self.fail(field, "an address like 127.0.0.1:8080", value)
+        return value
+
+    def names(self, field: str, default: object = REQUIRED) -> list[str]:
+        """Return a list of names."""
+        value = self._take(field, default)
+        if value is default and default is not REQUIRED:
+            return list(value)
+        if not isinstance(value, list) or not all(is_name(item) for item in value):
+            raise self.fail(field, "a list of names", value)
+        return list(value)
+
+    def weights(
+        self, field: str, default: object = REQUIRED, low: float = 0.0
+    ) -> dict[str, float]:
+        """Return an object that maps names to numbers of at least `low`."""
+        value = self._take(field, default)
+        if value is default and default is not REQUIRED:
+            return dict(value)
+        if not isinstance(value, dict):
+            raise self.fail(field, "an object of name: number", value)
+        inner = Reader(value, f"{self.where}.{field}", self._error)
+        return {key: inner.number(key, low=low) for key in value}
+
+    def child(self, field: str, default: object = REQUIRED) -> "Reader":
+        """Return a reader of the object in `field`."""
+        value = self._take(field, default)
+        return Reader(value, f"{self.where}.{field}", self._error)
+
+    def children(self, field: str, default: object = REQUIRED) -> Iterator["Reader"]:
+        """Yield a reader for each object of the list in `field`."""
+        value = self._take(field, default)
+        if not isinstance(value, list):
+            raise self.fail(field, "a list of objects", value)
+        for index, item in enumerate(value):
+            yield Reader(item, f"{self.where}.{field}[{index}]", self._error)
+
+    def has(self, field: str) -> bool:
+        """Tell whether the object holds `field`."""
+        return field in self._data
+
+    def finish(self) -> None:
+        """Refuse fields that nobody asked for."""
+        unknown = sorted(str(key) for key in self._data if key not in self._seen)
+        if unknown:
+            known = ", ".join(sorted(self._seen))
+            raise self._error(
+                "unknown-field",
+                f"{self.where}: unknown field {unknown[0]!r}; known fields: {known}",
+            )
+
+
+def is_name(value: object) -> bool:
+    """Tell whether `value` is 1 to 120 letters, digits, ``.``, ``_`` or ``-``."""
+    if not isinstance(value, str) or not 0 < len(value) <= 120:
+        return False
+    if value.startswith("."):
+        return False
+    return value.isascii() and all(char.isalnum() or char in "._-" for char in value)
+
+
+def is_address(value: str) -> bool:
+    """Tell whether `value` is an IP number, a colon and a port."""
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and int(port) < 65536
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and port of a checked ``ip:port``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
--- /dev/null
+++ b/lacewingcross/clock.py
@@ -0,0 +1,58 @@
+"""Clocks, passed in wherever time matters so that tests can drive it."""
+
+import time
+from datetime import UTC, datetime
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of time for adapters; the core only ever sees readings of it."""
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never goes back."""
+        ...
+
+    def wall(self) -> datetime:
+        """Return the time of day, for people to read; no decision rests on it."""
+        ...
+
+
+class SystemClock:
+    """The operating system's clocks."""
+
+    __slots__ = ()
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never goes back."""
+        return time.monotonic()
+
+    def wall(self) -> datetime:
+        """Return the time of day in UTC."""
+        return datetime.now(UTC)
+
+
+class ManualClock:
+    """A clock that moves only when told to.
+
+    Parameters
+    ----------
+    start : float, default=1000.0
+        First reading in seconds.
+    """
+
+    __slots__ = ("_now",)
+
+    def __init__(self, start: float = 1000.0) -> None:
+        self._now = start
+
+    def monotonic(self) -> float:
+        """Return the current reading in seconds."""
+        return self._now
+
+    def wall(self) -> datetime:
+        """Return the reading as a time of day in UTC."""
+        return datetime.fromtimestamp(self._now, UTC)
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock forward by `seconds`."""
+        self._now += seconds
--- /dev/null
+++ b/lacewingcross/core/attempts.py
@@ -0,0 +1,138 @@
+"""What is known of an attempt, and the one place that decides on a retry."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Stage(Enum):
+    """How far an attempt has come."""
+
+    NOT_SENT = "not-sent"
+    MAY_HAVE_RUN = "may-have-run"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+class Ending(Enum):
+    """How an attempt ended."""
+
+    CONNECT_FAILED = "connect-failed"
+    SERVER_NOT_RUN = "server-not-run"
+    ANSWERED = "answered"
+    SERVER_ERROR = "server-error"
+    BROKEN = "broken"
+    TRUNCATED = "truncated"
+    TIMED_OUT = "timed-out"
+    CANCELLED = "cancelled"
+
+
+class Verdict(Enum):
+    """What becomes of the request."""
+
+    DONE = "done"
+    RETRY = "retry"
+    REFUSE = "refuse"
+    UNKNOWN = "unknown"
+    ABORT = "abort"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One try at one backend server."""
+
+    number: int
+    server_id: str
+    stage: Stage = Stage.NOT_SENT
+    head_forwarded: bool = False
+
+    def first_byte_written(self) -> None:
+        """Move on: from now on the backend server may have run the request."""
+        if self.stage is Stage.NOT_SENT:
+            self.stage = Stage.MAY_HAVE_RUN
+
+    def end(self, ending: Ending) -> None:
+        """Settle the stage."""
+        if ending is Ending.SERVER_NOT_RUN:
+            # The server's own word outranks what we wrote: nothing ran.
+            self.stage = Stage.NOT_SENT
+        elif ending in (Ending.ANSWERED, Ending.SERVER_ERROR):
+            self.stage = Stage.ANSWERED
+        elif self.stage is Stage.MAY_HAVE_RUN:
+            self.stage = Stage.UNKNOWN
+
+
+def decide(
+    attempt: Attempt,
+    ending: Ending,
+    *,
+    repeatable: bool,
+    body_replayable: bool,
+    time_left: bool,
+    budget_left: bool,
+) -> Verdict:
+    """Decide what becomes of a request after an attempt.
+
+    Parameters
+    ----------
+    attempt : Attempt
+        The attempt, its stage settled by `Attempt.end`.
+    ending : Ending
+        How it ended.
+    repeatable : bool
+        Whether running the request twice does no harm.
+    body_replayable : bool
+        Whether the whole body read so far can be sent again.
+    time_left : bool
+        Whether the deadline leaves room for another attempt.
+    budget_left : bool
+        Whether the retry budget allows another attempt.
+
+    Returns
+    -------
+    verdict : Verdict
+        REFUSE only where the request is proved not to have run.
+    """
+    if attempt.head_forwarded and ending is not Ending.ANSWERED:
+        # Part of the answer is with the caller. A second answer behind it would
+        # cross, and ending it cleanly would pass a short answer as a whole one.
+        return Verdict.ABORT
+    if attempt.stage is Stage.ANSWERED:
+        return Verdict.DONE
+    if ending is Ending.CANCELLED:
+        return Verdict.ABORT
+    proved_not_run = attempt.stage is Stage.NOT_SENT
+    may_repeat = proved_not_run or repeatable
+    if may_repeat and body_replayable and time_left and budget_left:
+        return Verdict.RETRY
+    return Verdict.REFUSE if proved_not_run else Verdict.UNKNOWN
+
+
+class RetryBudget:
+    """Retries as a fraction of requests, so that they cannot amplify a surge.
+
+    Parameters
+    ----------
+    fraction : float, default=0.1
+        Retries earned by each request.
+    reserve : float, default=10.0
+        Most that can be saved up.
+    """
+
+    __slots__ = ("_tokens", "fraction", "reserve")
+
+    def __init__(self, fraction: float = 0.1, reserve: float = 10.0) -> None:
+        self.fraction = fraction
+        self.reserve = reserve
+        self._tokens = reserve
+
+    def earn(self) -> None:
+        """Count one request."""
+        self._tokens = min(self.reserve, self._tokens + self.fraction)
+
+    def available(self) -> bool:
+        """Tell whether a retry could be paid for."""
+        return self._tokens >= 1.0
+
+    def spend(self) -> None:
+        """Pay for one retry."""
+        self._tokens -= 1.0
--- /dev/null
+++ b/lacewingcross/core/config.py
@@ -0,0 +1,177 @@
+"""The configuration in force: versioned entries that only ever move up."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from ..errors import ResourceError
+from . import resources as res
+from .blocks import BlockIndex
+from .plan import Plan, decode_plan
+
+CONFIG_KINDS = (res.POLICY, res.CAP, res.POOL, res.DRAIN, res.PLAN)
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """One versioned entry; `text` is JSON, empty when the object is deleted."""
+
+    key: str
+    version: int
+    text: str
+
+
+@dataclass(slots=True)
+class Config:
+    """All entries and the typed resources read from them.
+
+    Merging takes the higher version for each key, so it does not matter in which
+    order, how often or from whom entries arrive: the platform or a peer.
+    """
+
+    entries: dict[str, Entry] = field(default_factory=dict)
+    revision: int = 0
+    complete: bool = False
+    policies: dict[str, res.SteeringPolicy] = field(default_factory=dict)
+    caps: dict[str, res.ShiftCap] = field(default_factory=dict)
+    pools: dict[str, res.BackendPool] = field(default_factory=dict)
+    drains: dict[str, res.Drain] = field(default_factory=dict)
+    plans: dict[str, Plan] = field(default_factory=dict)
+    plan_versions: dict[str, int] = field(default_factory=dict)
+    blocks: dict[str, BlockIndex] = field(default_factory=dict)
+    rejected: dict[str, str] = field(default_factory=dict)
+
+    def merge(
+        self, entries: Iterator[Entry], revision: int, complete: bool
+    ) -> list[str]:
+        """Take in entries; return the keys that changed.
+
+        Parameters
+        ----------
+        entries : iterable of Entry
+            Any entries, old ones included; an old one never replaces a newer one.
+        revision : int
+            Version up to which the sender's entries are complete.
+        complete : bool
+            Whether they hold everything above our own revision.
+        """
+        changed = []
+        for entry in entries:
+            known = self.entries.get(entry.key)
+            if known is not None and known.version >= entry.version:
+                continue
+            self.entries[entry.key] = entry
+            self._interpret(entry)
+            changed.append(entry.key)
+        if complete:
+            self.revision = max(self.revision, revision)
+            self.complete = True
+        return changed
+
+    def above(self, version: int) -> list[Entry]:
+        """Return the entries with a version above `version`, oldest first."""
+        newer = (item for item in self.entries.values() if item.version > version)
+        return sorted(newer, key=lambda item: item.version)
+
+    def cap(self, service: str) -> res.ShiftCap:
+        """Return the shift cap of a service, a cautious one if none is declared."""
+        return self.caps.get(service) or res.ShiftCap(service)
+
+    def _interpret(self, entry: Entry) -> None:
+        kind, name = res.split_key(entry.key)
+        if not entry.text:
+            self._forget(kind, name)
+            return
+        try:
+            spec = json.loads(entry.text)["spec"]
+            self._store(kind, name, spec, entry.version)
+            self.rejected.pop(entry.key, None)
+        except (ResourceError, ValueError, KeyError, TypeError) as exc:
+            # An object that some other program wrote must not stop the host: the
+            # last good resource stays in force and the reason is reported.
+            self.rejected[entry.key] = str(exc)
+
+    def _store(self, kind: str, name: str, spec: object, version: int) -> None:
+        if kind == res.PLAN:
+            self.plans[name] = decode_plan(name, spec)
+            self.plan_versions[name] = version
+            return
+        resource = res.parse(kind, name, spec, f"{kind}/{name}")
+        self._table(kind)[name] = resource
+        if kind == res.POLICY:
+            self._index_blocks(resource)
+
+    def _index_blocks(self, policy: res.SteeringPolicy) -> None:
+        self.blocks[policy.service] = BlockIndex(
+            (block, index)
+            for index, group in enumerate(policy.groups)
+            for block in group.blocks
+        )
+
+    def _forget(self, kind: str, name: str) -> None:
+        self.rejected.pop(res.object_key(kind, name), None)
+        if kind == res.PLAN:
+            self.plans.pop(name, None)
+            self.plan_versions.pop(name, None)
+            return
+        self._table(kind).pop(name, None)
+        if kind == res.POLICY:
+            self.blocks.pop(name, None)
+
+    def _table(self, kind: str) -> dict[str, res.Resource]:
+        tables = {
+            res.POLICY: self.policies,
+            res.CAP: self.caps,
+            res.POOL: self.pools,
+            res.DRAIN: self.drains,
+        }
+        if kind not in tables:
+            raise ResourceError("bad-kind", f"{kind!r} is not a configuration kind")
+        return tables[kind]
+
+    def group_of(self, service: str, address: int | None) -> str | None:
+        """Return the client group of an address; the first one if none matches."""
+        policy = self.policies.get(service)
+        if policy is None:
+            return None
+        index = 0
+        if address is not None:
+            index = self.blocks[service].find(address)
+        if index >= len(policy.groups):
+            index = 0
+        return policy.groups[index].name
+
+    def drained_regions(self, service: str) -> frozenset[str]:
+        """Return the regions that a planned drain empties for `service`."""
+        return frozenset(
+            drain.value
+            for drain in self.drains.values()
+            if drain.target == "region" and drain.service in ("", service)
+        )
+
+    def leaving_servers(self, service: str) -> set[str]:
+        """Return the backend servers that a planned drain stops."""
+        pool = self.pools.get(service)
+        if pool is None:
+            return set()
+        leaving = set()
+        for drain in self.drains.values():
+            if drain.service not in ("", service):
+                continue
+            for server in pool.servers:
+                if _drain_covers(drain, server):
+                    leaving.add(server.server_id)
+        return leaving
+
+    def drained_hosts(self) -> set[str]:
+        """Return the entry hosts that a planned drain stops."""
+        drains = self.drains.values()
+        return {drain.value for drain in drains if drain.target == "host"}
+
+
+def _drain_covers(drain: res.Drain, server: res.BackendServer) -> bool:
+    if drain.target == "server":
+        return drain.value == server.server_id
+    if drain.target == "failure_domain":
+        return drain.value == server.failure_domain
+    return False
--- /dev/null
+++ b/lacewingcross/core/estimate.py
@@ -0,0 +1,49 @@
+"""Online estimates of service time: a decaying mean and a recent quantile."""
+
+from bisect import bisect_left, insort
+from collections import deque
+
+WINDOW = 256
+MEAN_GAIN = 0.05
+SOURCE = "Friebe et al., Nip it in the Bud: Job Acceptance Multi-Server, section V"
+
+
+class ServiceTimes:
+    """Service times of the last `WINDOW` answers.
+
+    The acceptance test compares the time left to a deadline with a quantile of
+    the service time learnt online; see docs/design/slots.md for the source and
+    for what the test is worth here.
+
+    Parameters
+    ----------
+    prior_s : float, default=0.05
+        Mean assumed before the first answer.
+    """
+
+    __slots__ = ("_recent", "_sorted", "mean_s")
+
+    def __init__(self, prior_s: float = 0.05) -> None:
+        self.mean_s = prior_s
+        self._recent: deque[float] = deque()
+        self._sorted: list[float] = []
+
+    def __len__(self) -> int:
+        return len(self._recent)
+
+    def add(self, seconds: float) -> None:
+        """Learn one service time."""
+        gain = max(MEAN_GAIN, 1.0 / (len(self._recent) + 1))
+        self.mean_s += gain * (seconds - self.mean_s)
+        self._recent.append(seconds)
+        insort(self._sorted, seconds)
+        if len(self._recent) > WINDOW:
+            oldest = self._recent.popleft()
+            del self._sorted[bisect_left(self._sorted, oldest)]
+
+    def quantile(self, part: float) -> float:
+        """Return the service time that `part` of recent answers stayed under."""
+        if not self._sorted:
+            return self.mean_s
+        index = min(len(self._sorted) - 1, int(part * len(self._sorted)))
+        return self._sorted[index]
--- /dev/null
+++ b/lacewingcross/core/keeping.py
@@ -0,0 +1,132 @@
+"""The slot keepers that this host runs, and their life cycle."""
+
+from collections.abc import Iterator
+
+from . import messages as msg
+from .actions import Action, Log, SendPeer
+from .keeper import KeeperPolicy, Reply, SlotKeeper
+from .membership import DOWN
+from .view import View
+
+LOAD_REPORT_S = 0.5
+
+KeeperKey = tuple[str, str]
+
+
+class KeeperSet:
+    """Starts and stops keepers as membership and configuration change.
+
+    Parameters
+    ----------
+    view : View
+        Shared state.
+    policy : KeeperPolicy
+        Admission settings of every keeper.
+    """
+
+    __slots__ = ("_policy", "_reported_at", "_terms", "_view", "keepers")
+
+    def __init__(self, view: View, policy: KeeperPolicy) -> None:
+        self._view = view
+        self._policy = policy
+        self._terms = 0
+        self._reported_at = float("-inf")
+        self.keepers: dict[KeeperKey, SlotKeeper] = {}
+
+    def review(self, now: float) -> Iterator[Action]:
+        """Start keepers that fell to this host, stop those that moved away."""
+        view = self._view
+        own = view.own.host_id
+        wanted: set[KeeperKey] = set()
+        for service, pool in view.config.pools.items():
+            for region in pool.regions():
+                if view.keeper_of(service, region, now) == own:
+                    wanted.add((service, region))
+        for key in [key for key in self.keepers if key not in wanted]:
+            del self.keepers[key]
+            yield Log("keeper-stopped", {"service": key[0], "region": key[1]})
+        for key in sorted(wanted):
+            if key not in self.keepers:
+                yield from self._start(key, now)
+            self._declare(key, now)
+
+    def _start(self, key: KeeperKey, now: float) -> Iterator[Action]:
+        view = self._view
+        self._terms += 1
+        # Unique over hosts and incarnations: the incarnation is random, and the
+        # low bits count this host's own terms.
+        term = (view.incarnation << 8) + self._terms % 256
+        keeper = SlotKeeper(*key, term, view.rng, self._policy)
+        self.keepers[key] = keeper
+        self._declare(key, now)
+        holders = [
+            info.host_id
+            for info in view.members.hosts()
+            if view.members.state_of(info.host_id, now) != DOWN
+        ]
+        yield Log("keeper-started", {"service": key[0], "region": key[1]})
+        yield from self._send(keeper.start(holders, now))
+
+    def _declare(self, key: KeeperKey, now: float) -> None:
+        service, region = key
+        keeper = self.keepers[key]
+        leaving = self._view.leaving_servers(service)
+        servers = self._view.region_servers(service, region)
+        keeper.servers.declare(servers, leaving, now)
+        keeper.limit = self._view.config.pools[service].limit(region)
+
+    def _send(self, replies: Iterator[Reply]) -> Iterator[Action]:
+        for reply in replies:
+            yield SendPeer(reply.host_id, reply.message)
+
+    def on_message(
+        self, host_id: str, message: msg.Message, now: float
+    ) -> Iterator[Action]:
+        """Handle a message meant for a keeper."""
+        keeper = self.keepers.get((message.service, message.region))
+        if keeper is None:
+            if isinstance(message, msg.Acquire):
+                yield SendPeer(host_id, self._not_keeper(message))
+            return
+        if isinstance(message, msg.Acquire):
+            yield from self._send(keeper.acquire(host_id, message, now))
+        elif isinstance(message, msg.Release):
+            yield from self._send(keeper.release(message, now))
+        elif isinstance(message, msg.Renew):
+            keeper.renew(host_id, message.held, now)
+        elif isinstance(message, msg.Withdraw):
+            keeper.withdraw(host_id, message.request_id)
+        elif isinstance(message, msg.HeldReport):
+            yield from self._send(keeper.on_held(host_id, message, now))
+
+    def _not_keeper(self, ask: msg.Acquire) -> msg.Denied:
+        return msg.Denied(ask.service, ask.region, ask.request_id, "not-keeper", 0.0)
+
+    def host_down(self, host_id: str, now: float) -> Iterator[Action]:
+        """Tell every keeper that a host has gone."""
+        for keeper in self.keepers.values():
+            yield from self._send(keeper.host_down(host_id, now))
+
+    def probed(
+        self, service: str, server_id: str, reachable: bool, now: float
+    ) -> Iterator[Action]:
+        """Pass on what a health probe showed."""
+        for key, keeper in self.keepers.items():
+            if key[0] != service:
+                continue
+            if reachable:
+                keeper.servers.reachable(server_id, now)
+            else:
+                keeper.servers.learn(server_id, "unreachable", now)
+            yield from self._send(keeper.dispatch(now))
+
+    def tick(self, now: float) -> Iterator[Action]:
+        """Run every keeper's clock and report loads to the planners."""
+        for keeper in self.keepers.values():
+            yield from self._send(keeper.tick(now))
+        if now - self._reported_at < LOAD_REPORT_S:
+            return
+        self._reported_at = now
+        for (service, _), keeper in self.keepers.items():
+            load = keeper.load(now)
+            yield SendPeer(self._view.planner_of(service, now), load)
--- /dev/null
+++ b/lacewingcross/core/lookup.py
@@ -0,0 +1,72 @@
+"""Look-up: which entry hosts a caller should use, and for how long."""
+
+import random
+from dataclasses import dataclass
+
+from .config import Config
+from .membership import HostInfo, Membership
+from .plan import bucket_of
+from .rendezvous import ranked
+from .slew import EffectivePlan
+
+MAX_HOSTS = 4
+JITTER = 0.3
+
+
+@dataclass(slots=True, frozen=True)
+class LookupAnswer:
+    """Entry hosts in order of preference, with a lifetime in seconds."""
+
+    service: str
+    region: str
+    hosts: tuple[HostInfo, ...]
+    ttl_s: float
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class LookupRefusal:
+    """Why there is no answer."""
+
+    status: int
+    reason: str
+    retry_after_s: float = 0.0
+
+
+def answer(
+    config: Config,
+    members: Membership,
+    plans: dict[str, EffectivePlan],
+    service: str,
+    address: int | None,
+    caller: str,
+    rng: random.Random,
+    now: float,
+) -> LookupAnswer | LookupRefusal:
+    """Return the entry hosts for a caller.
+
+    The region comes from the plan in force, as for requests, so that a caller that
+    follows the answer needs no second region. The lifetime is jittered, so that
+    refreshes do not synchronise on the hour.
+    """
+    if not config.complete:
+        return LookupRefusal(503, "no-config", rng.uniform(0.2, 0.6))
+    policy = config.policies.get(service)
+    if policy is None:
+        return LookupRefusal(404, "unknown-service")
+    group = config.group_of(service, address)
+    bucket = bucket_of(service, caller)
+    plan = plans.get(service)
+    region = plan.region(group, bucket) if plan else None
+    live = members.live(now)
+    if not live:
+        return LookupRefusal(503, "no-hosts", rng.uniform(0.5, 1.5))
+    home = [info for info in live if info.region == region]
+    rest = [info for info in live if info.region != region]
+    by_id = {info.host_id: info for info in live}
+    key = f"{service}/{caller}"
+    ordered = ranked(key, [info.host_id for info in home])
+    ordered += ranked(key, [info.host_id for info in rest])
+    ttl = policy.lookup_ttl_s * rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+    hosts = tuple(by_id[host_id] for host_id in ordered[:MAX_HOSTS])
+    return LookupAnswer(service, region or "", hosts, ttl, config.revision)
--- /dev/null
+++ b/lacewingcross/core/messages.py
@@ -0,0 +1,161 @@
+"""Messages between entry hosts, as typed values that a codec can carry."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Hello:
+    """First message on a connection: who speaks, and in which incarnation."""
+
+    host_id: str
+    incarnation: int
+    protocol: int
+    region: str
+    failure_domain: str
+    entry: str
+    peer: str
+
+
+@dataclass(slots=True, frozen=True)
+class Heartbeat:
+    """Liveness, state and the highest configuration version of the sender."""
+
+    state: str
+    revision: int
+    behind: int
+
+
+@dataclass(slots=True, frozen=True)
+class Members:
+    """Hosts known to the sender: id, region, failure domain, entry, peer."""
+
+    hosts: list[tuple[str, str, str, str, str]]
+
+
+@dataclass(slots=True, frozen=True)
+class ConfigPull:
+    """Ask for every configuration entry above a version."""
+
+    above: int
+
+
+@dataclass(slots=True, frozen=True)
+class ConfigPush:
+    """Configuration entries: key, version and JSON text (empty when deleted)."""
+
+    revision: int
+    entries: list[tuple[str, int, str]]
+    complete: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Acquire:
+    """Ask a slot keeper for a permit."""
+
+    service: str
+    region: str
+    request_id: str
+    remaining_s: float
+    exclude: list[str]
+
+
+@dataclass(slots=True, frozen=True)
+class Grant:
+    """A permit: one slot of one backend server, leased."""
+
+    service: str
+    region: str
+    request_id: str
+    permit: int
+    server_id: str
+    lease_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Denied:
+    """The keeper refuses a request, with the time to come back."""
+
+    service: str
+    region: str
+    request_id: str
+    reason: str
+    retry_after_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Release:
+    """A permit is given back, with what the attempt showed."""
+
+    service: str
+    region: str
+    permit: int
+    server_id: str
+    result: str
+    service_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Renew:
+    """Keep the leases of permits whose requests still run."""
+
+    service: str
+    region: str
+    held: list[tuple[str, int]]
+
+
+@dataclass(slots=True, frozen=True)
+class Withdraw:
+    """The caller has gone: forget a queued request."""
+
+    service: str
+    region: str
+    request_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class HeldQuery:
+    """A new keeper asks which slots the receiver's requests occupy."""
+
+    service: str
+    region: str
+    term: int
+
+
+@dataclass(slots=True, frozen=True)
+class HeldReport:
+    """Answer to a query: backend server and number of slots held there."""
+
+    service: str
+    region: str
+    term: int
+    held: list[tuple[str, int]]
+
+
+@dataclass(slots=True, frozen=True)
+class RegionLoad:
+    """A keeper's figures on one region, for the planner."""
+
+    service: str
+    region: str
+    in_flight: int
+    queued: int
+    limit: float
+    demand_rate: float
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | ConfigPull
+    | ConfigPush
+    | Acquire
+    | Grant
+    | Denied
+    | Release
+    | Renew
+    | Withdraw
+    | HeldQuery
+    | HeldReport
+    | RegionLoad
+    | Members
+)
--- /dev/null
+++ b/lacewingcross/core/node.py
@@ -0,0 +1,358 @@
+"""The core of a host: one place where every event goes in and actions come out."""
+
+import random
+from collections.abc import Iterator
+
+from . import messages as msg
+from .actions import Action, Count, Log, SendPeer
+from .config import Entry
+from .events import (
+    AttemptEnded,
+    ConfigSeen,
+    Event,
+    FirstByteWritten,
+    HeadForwarded,
+    HostsListed,
+    PeerBroken,
+    PeerConnected,
+    PeerMessage,
+    RequestArrived,
+    RequestCancelled,
+    ServerProbed,
+    ShutdownAsked,
+    Tick,
+    WriteEnded,
+)
+from .keeper import KeeperPolicy
+from .keeping import KeeperSet
+from .lookup import LookupAnswer, LookupRefusal, answer
+from .membership import HEARTBEAT_S, LEAVING, HostInfo, Membership
+from .planning import PlannerSet
+from .reports import Reporter
+from .requests import RequestTable
+from .resources import PLAN, split_key
+from .slew import EffectivePlan
+from .view import View
+
+PULL_S = 0.3
+_KEEPER_MESSAGES = (
+    msg.Acquire,
+    msg.Release,
+    msg.Renew,
+    msg.Withdraw,
+    msg.HeldReport,
+)
+
+
+class HostCore:
+    """All decisions of one host.
+
+    Any driver can run it: feed every event with the time of a monotonic clock to
+    `handle` and carry out the actions in order. It does no I/O, reads no clock and
+    draws random numbers only from the source passed in.
+
+    Parameters
+    ----------
+    own : HostInfo
+        This host.
+    incarnation : int
+        Random 24-bit number of this run of the process.
+    rng : random.Random
+        Source for spreads and jitter.
+    policy : KeeperPolicy, optional
+        Admission settings.
+    """
+
+    __slots__ = (
+        "_beat_at",
+        "_changed",
+        "_pulled_at",
+        "keepers",
+        "planners",
+        "reporter",
+        "requests",
+        "view",
+    )
+
+    def __init__(
+        self,
+        own: HostInfo,
+        incarnation: int,
+        rng: random.Random,
+        policy: KeeperPolicy | None = None,
+    ) -> None:
+        self.view = View(Membership(own), incarnation, rng)
+        self.requests = RequestTable(self.view)
+        self.keepers = KeeperSet(self.view, policy or KeeperPolicy())
+        self.planners = PlannerSet(self.view)
+        self.reporter = Reporter(self.view, self.requests)
+        self._beat_at = float("-inf")
+        self._pulled_at = float("-inf")
+        self._changed = True
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in one event and return what to do, in order.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : float
+            Seconds on a monotonic clock.
+
+        Returns
+        -------
+        actions : list of Action
+        """
+        handler = _HANDLERS[type(event)]
+        return list(self._resolve(handler(self, event, now), now))
+
+    def lookup(
+        self, service: str, address: int | None, caller: str, now: float
+    ) -> LookupAnswer | LookupRefusal:
+        """Return the entry hosts for a caller; see `lookup.answer`."""
+        view = self.view
+        return answer(
+            view.config,
+            view.members,
+            view.plans,
+            service,
+            address,
+            caller,
+            view.rng,
+            now,
+        )
+
+    def idle(self) -> bool:
+        """Tell whether no request is left on this host."""
+        return not self.requests.requests
+
+    def _resolve(self, actions: Iterator[Action], now: float) -> Iterator[Action]:
+        """Deliver messages to this host itself at once; pass the rest on."""
+        own = self.view.own.host_id
+        for action in actions:
+            if isinstance(action, SendPeer) and action.host_id == own:
+                yield from self._resolve(
+                    self._on_message(own, action.message, now), now
+                )
+            else:
+                yield action
+
+    # Time
+
+    def _tick(self, _event: Tick, now: float) -> Iterator[Action]:
+        self._follow_plans(now)
+        if now - self._beat_at >= HEARTBEAT_S:
+            self._beat_at = now
+            yield from self._heartbeats(now)
+            self._changed = True
+        if self._changed:
+            self._changed = False
+            yield from self.keepers.review(now)
+        yield from self.requests.tick(now)
+        yield from self.keepers.tick(now)
+        yield from self.planners.tick(now)
+        yield from self.reporter.tick(now)
+
+    def _heartbeats(self, now: float) -> Iterator[Action]:
+        view = self.view
+        behind = sum(plan.behind() for plan in view.plans.values())
+        beat = msg.Heartbeat(view.members.own_state, view.config.revision, behind)
+        for state in view.members.others():
+            yield SendPeer(state.info.host_id, beat)
+
+    def _follow_plans(self, now: float) -> None:
+        for service, plan in self.view.plans.items():
+            plan.advance(self.view.config.cap(service), now)
+
+    # Peers
+
+    def _connected(self, event: PeerConnected, now: float) -> Iterator[Action]:
+        self.view.members.on_hello(event.info, event.incarnation, now)
+        self._changed = True
+        known = [
+            (info.host_id, info.region, info.failure_domain, info.entry, info.peer)
+            for info in self.view.members.hosts()
+        ]
+        yield SendPeer(event.info.host_id, msg.Members(known))
+
+    def _broken(self, event: PeerBroken, now: float) -> Iterator[Action]:
+        self.view.members.on_broken(event.host_id)
+        self._changed = True
+        yield from self.keepers.host_down(event.host_id, now)
+        yield from self.requests.tick(now)
+
+    def _peer_message(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        yield from self._on_message(event.host_id, event.message, now)
+
+    def _on_message(
+        self, host_id: str, message: msg.Message, now: float
+    ) -> Iterator[Action]:
+        if isinstance(message, msg.Grant):
+            yield from self.requests.granted(host_id, message, now)
+        elif isinstance(message, msg.Denied):
+            yield from self.requests.denied(host_id, message, now)
+        elif isinstance(message, _KEEPER_MESSAGES):
+            yield from self.keepers.on_message(host_id, message, now)
+        elif isinstance(message, msg.Heartbeat):
+            yield from self._on_heartbeat(host_id, message, now)
+        elif isinstance(message, msg.HeldQuery):
+            held = self.requests.held(message.service, message.region)
+            report = msg.HeldReport(message.service, message.region, message.term, held)
+            yield SendPeer(host_id, report)
+        elif isinstance(message, msg.RegionLoad):
+            self.planners.on_load(message, now)
+        elif isinstance(message, msg.ConfigPull):
+            yield from self._on_pull(host_id, message)
+        elif isinstance(message, msg.ConfigPush):
+            entries = [Entry(*item) for item in message.entries]
+            yield from self._merge(entries, message.revision, message.complete, now)
+        elif isinstance(message, msg.Members):
+            learnt = [HostInfo(*item) for item in message.hosts]
+            self.view.members.learn(learnt, now)
+
+    def _on_heartbeat(
+        self, host_id: str, beat: msg.Heartbeat, now: float
+    ) -> Iterator[Action]:
+        before = self.view.members.state_of(host_id, now)
+        self.view.members.on_heartbeat(host_id, beat, now)
+        if self.view.members.state_of(host_id, now) != before:
+            self._changed = True
+        own = self.view.config.revision
+        if beat.revision > own and now - self._pulled_at > PULL_S:
+            # A peer is ahead: the platform is down or slow for us. Its entries
+            # carry versions, so taking them can never put an older one in force.
+            self._pulled_at = now
+            yield Count("config.pulls")
+            yield SendPeer(host_id, msg.ConfigPull(own))
+
+    def _on_pull(self, host_id: str, pull: msg.ConfigPull) -> Iterator[Action]:
+        config = self.view.config
+        if not config.complete:
+            return
+        entries = [
+            (entry.key, entry.version, entry.text) for entry in config.above(pull.above)
+        ]
+        yield SendPeer(host_id, msg.ConfigPush(config.revision, entries, True))
+
+    # Platform
+
+    def _config_seen(self, event: ConfigSeen, now: float) -> Iterator[Action]:
+        yield from self._merge(event.entries, event.revision, True, now)
+
+    def _merge(
+        self, entries: list[Entry], revision: int, complete: bool, now: float
+    ) -> Iterator[Action]:
+        config = self.view.config
+        before = config.revision
+        changed = config.merge(entries, revision, complete)
+        for key in changed:
+            kind, name = split_key(key)
+            if kind == PLAN:
+                self._adopt_plan(name, now)
+            yield Log("config-in-force", {"key": key, "revision": config.revision})
+            if key in config.rejected:
+                yield Count("config.rejected")
+                why = config.rejected[key]
+                yield Log("config-rejected", {"key": key, "reason": why})
+        if not changed and config.revision == before:
+            return
+        self._apply_host_drains()
+        yield from self.keepers.review(now)
+        yield from self._heartbeats(now)
+        yield from self.reporter.tick(now)
+
+    def _apply_host_drains(self) -> None:
+        members = self.view.members
+        drained = self.view.config.drained_hosts()
+        members.set_drained(drained)
+        if members.own.host_id in drained:
+            members.own_state = LEAVING
+
+    def _adopt_plan(self, service: str, now: float) -> None:
+        plan = self.view.config.plans.get(service)
+        if plan is None:
+            self.view.plans.pop(service, None)
+            return
+        cap = self.view.config.cap(service)
+        effective = self.view.plans.setdefault(service, EffectivePlan())
+        effective.adopt(plan, cap, now)
+        self.planners.on_plan(service, now)
+
+    def _hosts_listed(self, event: HostsListed, now: float) -> Iterator[Action]:
+        members = self.view.members
+        members.on_list(event.hosts, now)
+        members.set_drained(self.view.config.drained_hosts())
+        own = members.own.host_id
+        listed = {info.host_id: info.listed for info in event.hosts}
+        if listed.get(own) == LEAVING:
+            members.own_state = LEAVING
+        if event.leaving_servers != self.view.listed_leaving:
+            self.view.listed_leaving = event.leaving_servers
+            yield Log("servers-leaving", {"listed": ",".join(event.leaving_servers)})
+        yield from self.keepers.review(now)
+
+    def _write_ended(self, event: WriteEnded, now: float) -> Iterator[Action]:
+        if self.requests.owns_call(event.call_id):
+            yield from self.requests.write_ended(event, now)
+        elif self.planners.owns_call(event.call_id):
+            yield from self.planners.write_ended(event)
+        elif self.reporter.owns_call(event.call_id):
+            self.reporter.write_ended(event)
+
+    # Requests
+
+    def _request(self, event: RequestArrived, now: float) -> Iterator[Action]:
+        yield from self.requests.arrived(event, now)
+
+    def _cancelled(self, event: RequestCancelled, now: float) -> Iterator[Action]:
+        yield from self.requests.cancelled(event.request_id, now)
+
+    def _first_byte(self, event: FirstByteWritten, _now: float) -> Iterator[Action]:
+        self.requests.first_byte(event.request_id, event.attempt)
+        yield from ()
+
+    def _head(self, event: HeadForwarded, _now: float) -> Iterator[Action]:
+        self.requests.head_forwarded(event.request_id, event.attempt)
+        yield from ()
+
+    def _attempt_ended(self, event: AttemptEnded, now: float) -> Iterator[Action]:
+        yield from self.requests.attempt_ended(event, now)
+
+    def _probed(self, event: ServerProbed, now: float) -> Iterator[Action]:
+        signalled = self.view.signalled
+        before = event.server_id in signalled
+        if event.draining != before and event.reachable:
+            (signalled.add if event.draining else signalled.discard)(event.server_id)
+            yield Log(
+                "server-signal",
+                {"server": event.server_id, "draining": event.draining},
+            )
+            yield from self.keepers.review(now)
+        yield from self.keepers.probed(
+            event.service, event.server_id, event.reachable, now
+        )
+
+    def _shutdown(self, _event: ShutdownAsked, now: float) -> Iterator[Action]:
+        self.view.members.own_state = LEAVING
+        yield Log("host-leaving", {"requests": len(self.requests.requests)})
+        yield from self._heartbeats(now)
+        yield from self.keepers.review(now)
+
+
+_HANDLERS = {
+    Tick: HostCore._tick,
+    PeerConnected: HostCore._connected,
+    PeerBroken: HostCore._broken,
+    PeerMessage: HostCore._peer_message,
+    ConfigSeen: HostCore._config_seen,
+    HostsListed: HostCore._hosts_listed,
+    WriteEnded: HostCore._write_ended,
+    RequestArrived: HostCore._request,
+    RequestCancelled: HostCore._cancelled,
+    FirstByteWritten: HostCore._first_byte,
+    HeadForwarded: HostCore._head,
+    AttemptEnded: HostCore._attempt_ended,
+    ServerProbed: HostCore._probed,
+    ShutdownAsked: HostCore._shutdown,
+}
--- /dev/null
+++ b/lacewingcross/core/planner.py
@@ -0,0 +1,339 @@
+"""The planner of a service: moves buckets under the cap and the headroom."""
+
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+
+from . import messages as msg
+from .plan import (
+    BUCKETS,
+    Move,
+    Plan,
+    apportion,
+    fresh_table,
+    move_towards,
+)
+from .resources import BackendPool, ClientGroup, ShiftCap, SteeringPolicy
+
+FRESH_S = 3.0
+HOT_PART = 0.95
+COOL_PART = 0.7
+RETURN_PART = 0.6
+FILL_PART = 0.85
+SETTLE_S = 1.0
+REGION_LOST_S = 2.0
+HEADROOM_STEP = 20
+LEDGER_MAX = 500
+
+
+@dataclass(slots=True)
+class RegionView:
+    """The last figures on one region, and when they came."""
+
+    load: msg.RegionLoad
+    at: float
+    zero_since: float | None = None
+
+    def demand(self) -> float:
+        """Return slots that are or would be in use."""
+        return float(self.load.in_flight + self.load.queued)
+
+    def part(self) -> float:
+        """Return demand over the declared limit."""
+        return self.demand() / max(1.0, self.load.limit)
+
+
+@dataclass(slots=True)
+class PlannerInput:
+    """What a step decides on, besides the plan itself."""
+
+    policy: SteeringPolicy
+    pool: BackendPool
+    cap: ShiftCap
+    drained: frozenset[str]
+    lost: frozenset[str]
+
+
+@dataclass(slots=True)
+class Step:
+    """A new plan to be written, with the cause of the change."""
+
+    plan: Plan
+    cause: str
+
+
+@dataclass(slots=True)
+class Planner:
+    """Planning state of one service on one host.
+
+    Every host keeps this state and feeds it every plan it sees; only the one that
+    owns the service writes. So a successor has usually seen all moves in time.
+
+    Parameters
+    ----------
+    service : str
+        The service planned for.
+    tag : str
+        Unique over hosts and incarnations; prefix of move ids.
+    """
+
+    service: str
+    tag: str
+    regions: dict[str, RegionView] = field(default_factory=dict)
+    hold_reason: str = ""
+    _seen: dict[str, float] = field(default_factory=dict)
+    _counter: int = 0
+    _changed_at: float = -math.inf
+
+    def on_plan(self, plan: Plan, now: float) -> None:
+        """Note when each move was first seen, on this host's own clock.
+
+        A move counts against the cap until a full window has passed since this
+        host first saw it. No clock of another host is trusted: a planner that has
+        just started counts every move of the ledger as made now, and one that was
+        paused fails its conditional update.
+        """
+        current = {move.move_id for move in plan.ledger}
+        for move_id in current:
+            if move_id not in self._seen:
+                self._seen[move_id] = now
+                self._changed_at = now
+        self._seen = {key: at for key, at in self._seen.items() if key in current}
+
+    def on_load(self, load: msg.RegionLoad, now: float) -> None:
+        """Take in a keeper's figures."""
+        known = self.regions.get(load.region)
+        zero_since = None
+        if load.limit <= 0:
+            zero_since = now
+            if known is not None and known.zero_since is not None:
+                zero_since = known.zero_since
+        self.regions[load.region] = RegionView(load, now, zero_since)
+
+    def lost(self, now: float) -> frozenset[str]:
+        """Return the regions whose keeper reports no usable server for a while.
+
+        Missing figures are not a loss: they prove nothing, and nothing is shifted
+        on them.
+        """
+        return frozenset(
+            region
+            for region, view in self.regions.items()
+            if view.zero_since is not None
+            and now - view.at <= FRESH_S
+            and now - view.zero_since >= REGION_LOST_S
+        )
+
+    def live_moves(self, plan: Plan, cap: ShiftCap, now: float) -> tuple[Move, ...]:
+        """Return the moves that still count against the cap."""
+        return tuple(
+            move
+            for move in plan.ledger
+            if now - self._seen.get(move.move_id, now) <= cap.window_s
+        )
+
+    def budget(self, moves: tuple[Move, ...], cap: ShiftCap, group: str) -> int:
+        """Return how many buckets of `group` may still move in this window."""
+        spent = sum(move.moved.get(group, 0) for move in moves)
+        return max(0, math.floor(cap.fraction * BUCKETS + 1e-9) - spent)
+
+    def step(self, plan: Plan | None, given: PlannerInput, now: float) -> Step | None:
+        """Return the next plan, or None when nothing should change."""
+        if plan is None:
+            return self._first_plan(given)
+        moves = self.live_moves(plan, given.cap, now)
+        tables: dict[str, list[str]] = {}
+        moved: dict[str, int] = {}
+        room = self._room(plan, given, now)
+        causes: set[str] = set()
+        for group in given.policy.groups:
+            table = plan.tables.get(group.name)
+            if table is None:
+                tables[group.name] = self._initial_table(group, given)
+                causes.add("new-group")
+                continue
+            target, cause = self._target(group, table, given, now)
+            target = self._within_room(table, target, room)
+            budget = self.budget(moves, given.cap, group.name)
+            new_table, count = move_towards(table, target, budget)
+            tables[group.name] = new_table
+            self._take_room(table, new_table, room)
+            if count:
+                moved[group.name] = count
+                causes.add(cause)
+        if not moved and set(tables) == set(plan.tables):
+            return None
+        ledger = moves
+        if moved:
+            self._counter += 1
+            move_id = f"{self.tag}.{self._counter}"
+            ledger = (*moves, Move(move_id, moved, ",".join(sorted(causes))))
+            if len(ledger) > LEDGER_MAX:
+                self.hold_reason = "ledger-full"
+                return None
+        return Step(Plan(self.service, tables, ledger), ",".join(sorted(causes)))
+
+    def _first_plan(self, given: PlannerInput) -> Step:
+        tables = {
+            group.name: self._initial_table(group, given)
+            for group in given.policy.groups
+        }
+        return Step(Plan(self.service, tables), "first")
+
+    def _initial_table(self, group: ClientGroup, given: PlannerInput) -> list[str]:
+        return fresh_table(self._base_counts(group, given, frozenset()))
+
+    def _base_counts(
+        self, group: ClientGroup, given: PlannerInput, avoid: frozenset[str]
+    ) -> Counter[str]:
+        """Return the wanted split, weights of avoided regions spread on the rest."""
+        usable = [reg for reg in given.pool.regions() if reg not in avoid]
+        weights = {
+            region: weight
+            for region, weight in group.weights.items()
+            if region in usable and weight > 0
+        }
+        counts = apportion(weights)
+        if counts:
+            return counts
+        for region in given.policy.failover:
+            if region in usable:
+                return Counter({region: BUCKETS})
+        limits = {region: given.pool.limit(region) for region in usable}
+        counts = apportion(limits)
+        if counts:
+            return counts
+        fallback = next(iter(sorted(group.weights)))
+        return Counter({fallback: BUCKETS})
+
+    def _target(
+        self, group: ClientGroup, table: list[str], given: PlannerInput, now: float
+    ) -> tuple[Counter[str], str]:
+        """Return the counts to move towards, and the cause."""
+        have = Counter(table)
+        avoid = given.drained | given.lost
+        base = self._base_counts(group, given, avoid)
+        if avoid & set(have):
+            cause = "drain" if given.drained & set(have) else "failover"
+            return self._leave(have, base, avoid), cause
+        hot = self._hot(have, now)
+        if hot is not None:
+            return self._relieve(have, hot, given, now), "headroom"
+        if base != have and self._may_return(have, base, now):
+            return base, "policy"
+        return have, ""
+
+    def _leave(
+        self, have: Counter[str], base: Counter[str], avoid: frozenset[str]
+    ) -> Counter[str]:
+        """Empty the avoided regions; what is already elsewhere stays there."""
+        leaving = sum(have[region] for region in avoid)
+        target = Counter({reg: num for reg, num in have.items() if reg not in avoid})
+        gains = apportion(base)
+        for region, count in gains.items():
+            target[region] += leaving * count // BUCKETS
+        short = BUCKETS - sum(target.values())
+        if short and gains:
+            target[max(gains, key=lambda key: (gains[key], key))] += short
+        return target
+
+    def _view(self, region: str, now: float) -> RegionView | None:
+        view = self.regions.get(region)
+        if view is None or now - view.at > FRESH_S:
+            return None
+        return view
+
+    def _hot(self, have: Counter[str], now: float) -> str | None:
+        """Return the hottest region of the group, judged on fresh figures only."""
+        hottest = None
+        part = HOT_PART
+        for region in have:
+            view = self._view(region, now)
+            if view is not None and view.part() > part:
+                hottest = region
+                part = view.part()
+        return hottest
+
+    def _relieve(
+        self, have: Counter[str], hot: str, given: PlannerInput, now: float
+    ) -> Counter[str]:
+        """Move a small step from the hot region to the coolest one."""
+        coolest = None
+        part = COOL_PART
+        for region in given.pool.regions():
+            view = self._view(region, now)
+            if region == hot or region in given.drained or view is None:
+                continue
+            if view.part() < part:
+                coolest = region
+                part = view.part()
+        if coolest is None:
+            self.hold_reason = "no-headroom"
+            return have
+        step = min(HEADROOM_STEP, have[hot])
+        target = Counter(have)
+        target[hot] -= step
+        target[coolest] += step
+        return target
+
+    def _may_return(self, have: Counter[str], base: Counter[str], now: float) -> bool:
+        """Tell whether every region that would gain has room to take buckets back."""
+        for region, count in base.items():
+            if count <= have[region]:
+                continue
+            view = self._view(region, now)
+            if view is None or view.part() > RETURN_PART:
+                self.hold_reason = "stale" if view is None else "receiver-busy"
+                return False
+        return True
+
+    def _room(self, plan: Plan, given: PlannerInput, now: float) -> dict[str, float]:
+        """Return how many buckets each region could take without overload.
+
+        Failure: figures are stale, or an earlier step has not shown in them yet.
+        Then a step would be decided on room that is gone. A region without fresh
+        figures, or with figures older than the last step, is given no buckets.
+        """
+        buckets = plan.region_buckets()
+        demand = 0.0
+        counted = 0
+        for region, number in buckets.items():
+            view = self._view(region, now)
+            if view is not None and region not in given.lost:
+                demand += view.demand()
+                counted += number
+        each = demand / counted if counted else 0.0
+        room: dict[str, float] = {}
+        for region in given.pool.regions():
+            view = self._view(region, now)
+            if view is None or view.at < self._changed_at + SETTLE_S:
+                room[region] = 0.0
+                continue
+            spare = FILL_PART * view.load.limit - view.demand()
+            room[region] = spare / each if each > 0 else math.inf
+        return room
+
+    def _within_room(
+        self, table: list[str], target: Counter[str], room: dict[str, float]
+    ) -> Counter[str]:
+        """Cut gains down to the room of each region."""
+        have = Counter(table)
+        kept = Counter()
+        for region in set(have) | set(target):
+            gain = target[region] - have[region]
+            if gain > 0:
+                allowed = room.get(region, 0.0)
+                gain = gain if allowed >= gain else max(0, int(allowed))
+                kept[region] = have[region] + gain
+            else:
+                kept[region] = target[region]
+        return kept
+
+    def _take_room(
+        self, before: list[str], after: list[str], room: dict[str, float]
+    ) -> None:
+        gained = Counter(after)
+        gained.subtract(Counter(before))
+        for region, count in gained.items():
+            if count > 0 and region in room:
+                room[region] -= count
--- /dev/null
+++ b/lacewingcross/core/planning.py
@@ -0,0 +1,107 @@
+"""The planners of this host: feed them all, let the owned ones write."""
+
+from collections.abc import Iterator
+
+from . import messages as msg
+from .actions import Action, Count, CreateObject, Log, UpdateObject
+from .events import WriteEnded
+from .plan import encode_plan
+from .planner import Planner, PlannerInput, Step
+from .resources import PLAN, object_key
+from .view import View
+
+STEP_S = 0.5
+WRITE_PATIENCE_S = 10.0
+CALL_BASE = 1 << 40
+
+
+class PlannerSet:
+    """One planner for each service.
+
+    Parameters
+    ----------
+    view : View
+        Shared state; this part writes `view.plans`.
+    """
+
+    __slots__ = ("_calls", "_next_call", "_stepped_at", "_view", "planners")
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+        self.planners: dict[str, Planner] = {}
+        self._calls: dict[int, tuple[str, float]] = {}
+        self._next_call = CALL_BASE
+        self._stepped_at = float("-inf")
+
+    def on_plan(self, service: str, now: float) -> None:
+        """Take over a plan that the configuration now holds."""
+        plan = self._view.config.plans.get(service)
+        if plan is not None:
+            self._planner(service).on_plan(plan, now)
+
+    def on_load(self, load: msg.RegionLoad, now: float) -> None:
+        """Take in a keeper's figures."""
+        self._planner(load.service).on_load(load, now)
+
+    def _planner(self, service: str) -> Planner:
+        planner = self.planners.get(service)
+        if planner is None:
+            tag = f"{self._view.own.host_id}.{self._view.incarnation}"
+            planner = Planner(service, tag)
+            self.planners[service] = planner
+        return planner
+
+    def owns_call(self, call_id: int) -> bool:
+        """Tell whether a write belongs to a planner."""
+        return call_id in self._calls
+
+    def write_ended(self, ended: WriteEnded) -> Iterator[Action]:
+        """Note the end of a plan write; the new plan arrives by the watch."""
+        service, _ = self._calls.pop(ended.call_id)
+        yield Count(f"plan.write-{ended.outcome}")
+        yield Log("plan-written", {"service": service, "outcome": ended.outcome})
+
+    def tick(self, now: float) -> Iterator[Action]:
+        """Plan each owned service once in `STEP_S`."""
+        if now - self._stepped_at < STEP_S or not self._view.config.complete:
+            return
+        self._stepped_at = now
+        own = self._view.own.host_id
+        for service in sorted(self._view.config.policies):
+            if self._view.planner_of(service, now) == own:
+                yield from self._step(service, now)
+
+    def _step(self, service: str, now: float) -> Iterator[Action]:
+        config = self._view.config
+        pool = config.pools.get(service)
+        if pool is None or not pool.servers or self._writing(service, now):
+            return
+        planner = self._planner(service)
+        given = PlannerInput(
+            config.policies[service],
+            pool,
+            config.cap(service),
+            config.drained_regions(service),
+            planner.lost(now),
+        )
+        step = planner.step(config.plans.get(service), given, now)
+        if step is not None:
+            yield from self._write(service, step, now)
+
+    def _writing(self, service: str, now: float) -> bool:
+        return any(
+            name == service and now - since < WRITE_PATIENCE_S
+            for name, since in self._calls.values()
+        )
+
+    def _write(self, service: str, step: Step, now: float) -> Iterator[Action]:
+        self._next_call += 1
+        self._calls[self._next_call] = (service, now)
+        key = object_key(PLAN, service)
+        spec = encode_plan(step.plan)
+        yield Log("plan-step", {"service": service, "cause": step.cause})
+        version = self._view.config.plan_versions.get(service)
+        if version is None:
+            yield CreateObject(self._next_call, key, spec)
+        else:
+            yield UpdateObject(self._next_call, key, spec, version)
--- /dev/null
+++ b/lacewingcross/core/rendezvous.py
@@ -0,0 +1,20 @@
+"""Rendezvous hashing: every host picks the same owner from the same live set."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+
+def hash64(*parts: str) -> int:
+    """Return a stable 64-bit hash of `parts`."""
+    data = "\x00".join(parts).encode()
+    return int.from_bytes(blake2b(data, digest_size=8).digest(), "big")
+
+
+def owner(key: str, members: Iterable[str]) -> str | None:
+    """Return the member that owns `key`, or None when there are no members."""
+    return max(members, key=lambda member: hash64(key, member), default=None)
+
+
+def ranked(key: str, members: Iterable[str]) -> list[str]:
+    """Return `members`, the owner of `key` first."""
+    return sorted(members, key=lambda member: hash64(key, member), reverse=True)
--- /dev/null
+++ b/lacewingcross/core/reports.py
@@ -0,0 +1,89 @@
+"""Status for operators: what is in force on the hosts of a failure domain."""
+
+from collections.abc import Iterator
+
+from .actions import Action, CreateObject, UpdateObject
+from .events import WriteEnded
+from .membership import DOWN, LIVE
+from .requests import RequestTable
+from .view import View
+
+REPORT_KIND = "Report"
+CHANGED_S = 0.25
+IDLE_S = 10.0
+CALL_BASE = 1 << 50
+
+
+class Reporter:
+    """Writes one object for each failure domain, not one for each host.
+
+    At thousands of hosts a write for each heartbeat would exceed the platform's
+    rate; one host of each failure domain, chosen by rendezvous, writes for all.
+    """
+
+    __slots__ = ("_call", "_last", "_requests", "_version", "_view", "_written_at")
+
+    def __init__(self, view: View, requests: RequestTable) -> None:
+        self._view = view
+        self._requests = requests
+        self._call = 0
+        self._version: int | None = None
+        self._last: object = None
+        self._written_at = float("-inf")
+
+    def owns_call(self, call_id: int) -> bool:
+        """Tell whether a write is the reporter's."""
+        return call_id == self._call != 0
+
+    def write_ended(self, ended: WriteEnded) -> None:
+        """Note the version for the next conditional update."""
+        self._call = 0
+        if ended.outcome in ("ok", "conflict"):
+            self._version = ended.version or None
+        if ended.outcome != "ok":
+            self._last = None
+
+    def tick(self, now: float) -> Iterator[Action]:
+        """Write when something changed, and now and then when nothing did."""
+        own = self._view.own
+        if self._view.reporter_of(own.failure_domain, now) != own.host_id:
+            return
+        waited = now - self._written_at
+        if self._call or waited < CHANGED_S:
+            return
+        spec = self._spec(now)
+        if spec == self._last and waited < IDLE_S:
+            return
+        self._last = spec
+        self._written_at = now
+        self._call = CALL_BASE + int(now * 1000)
+        key = f"{REPORT_KIND}/{own.failure_domain}"
+        if self._version is None:
+            yield CreateObject(self._call, key, spec)
+        else:
+            yield UpdateObject(self._call, key, spec, self._version)
+
+    def _spec(self, now: float) -> dict[str, object]:
+        view = self._view
+        hosts = {
+            view.own.host_id: {
+                "state": view.members.own_state,
+                "revision": view.config.revision,
+                "behind": sum(plan.behind() for plan in view.plans.values()),
+            }
+        }
+        for state in view.members.others():
+            if state.info.failure_domain != view.own.failure_domain:
+                continue
+            said = view.members.state_of(state.info.host_id, now)
+            if said != DOWN:
+                hosts[state.info.host_id] = {
+                    "state": said or LIVE,
+                    "revision": state.revision,
+                    "behind": state.behind,
+                }
+        return {
+            "hosts": hosts,
+            "last_refusals": dict(self._requests.last_refusals),
+            "rejected": dict(view.config.rejected),
+        }
--- /dev/null
+++ b/lacewingcross/core/requests.py
@@ -0,0 +1,540 @@
+"""The life of each request on its entry host: claim, permit, attempts, ending."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from heapq import heappop, heappush
+
+from . import messages as msg
+from .actions import (
+    NOT_RUN,
+    UNKNOWN,
+    AbortAnswer,
+    Action,
+    CancelAttempt,
+    Count,
+    CreateObject,
+    DropClaim,
+    Finish,
+    SendPeer,
+    StartAttempt,
+)
+from .attempts import Attempt, Ending, RetryBudget, Verdict, decide
+from .events import AttemptEnded, RequestArrived, WriteEnded
+from .plan import bucket_of
+from .rendezvous import hash64
+from .resources import SteeringPolicy
+from .servers import ANSWERED, FAILED, SHED, UNREACHABLE, UNUSED
+from .view import View
+
+RENEW_S = 1.0
+KEEPER_SILENCE_S = 0.9
+NOT_KEEPER_PAUSE_S = 0.05
+MIN_ATTEMPT_S = 0.005
+START_PART = 0.5
+CLAIM_KIND = "KeyClaim"
+COME_BACK_S = (0.5, 2.0)
+
+_RESULTS = {
+    Ending.CONNECT_FAILED: UNREACHABLE,
+    Ending.SERVER_NOT_RUN: SHED,
+    Ending.ANSWERED: ANSWERED,
+    Ending.SERVER_ERROR: FAILED,
+    Ending.BROKEN: FAILED,
+    Ending.TRUNCATED: FAILED,
+    Ending.TIMED_OUT: FAILED,
+    Ending.CANCELLED: UNUSED,
+}
+_REFUSAL_REASONS = {
+    Ending.CONNECT_FAILED: "backend-unreachable",
+    Ending.SERVER_NOT_RUN: "backend-shed",
+}
+
+
+class Phase(Enum):
+    """What a request waits for."""
+
+    CLAIM = "claim"
+    PERMIT = "permit"
+    PAUSE = "pause"
+    ATTEMPT = "attempt"
+
+
+@dataclass(slots=True)
+class Held:
+    """A permit in use."""
+
+    number: int
+    server_id: str
+    keeper: str
+
+
+@dataclass(slots=True)
+class RequestState:
+    """One request from arrival to its final answer."""
+
+    req: RequestArrived
+    deadline: float
+    region: str
+    repeatable: bool
+    phase: Phase = Phase.PERMIT
+    keeper: str = ""
+    asked_at: float = 0.0
+    resume_at: float = 0.0
+    held: Held | None = None
+    attempt: Attempt | None = None
+    attempts: int = 0
+    exclude: set[str] = field(default_factory=set)
+    claim_key: str = ""
+    claim: str = ""
+
+
+class RequestTable:
+    """All requests of this host.
+
+    Parameters
+    ----------
+    view : View
+        Shared state.
+    """
+
+    __slots__ = (
+        "_budgets",
+        "_by_call",
+        "_deadlines",
+        "_next_call",
+        "_next_local_permit",
+        "_renewed_at",
+        "_view",
+        "last_refusals",
+        "requests",
+    )
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+        self.requests: dict[str, RequestState] = {}
+        self.last_refusals: dict[str, str] = {}
+        self._budgets: dict[str, RetryBudget] = defaultdict(RetryBudget)
+        self._by_call: dict[int, str] = {}
+        self._deadlines: list[tuple[float, str]] = []
+        self._next_call = 0
+        self._next_local_permit = 0
+        self._renewed_at = float("-inf")
+
+    # Arrival
+
+    def arrived(self, req: RequestArrived, now: float) -> Iterator[Action]:
+        """Take in a request, or refuse it at once."""
+        view = self._view
+        if not view.config.complete:
+            yield from self._refuse_unlisted(req, 503, "no-config")
+            return
+        policy = view.config.policies.get(req.service)
+        if policy is None or req.service not in view.config.pools:
+            yield Count("refused.unknown-service")
+            yield Finish(req.request_id, 404, NOT_RUN, "unknown-service")
+            return
+        if req.request_id in self.requests:
+            yield from self._refuse_unlisted(req, 409, "duplicate-request-id")
+            return
+        region = self._region(req)
+        if region is None:
+            yield from self._refuse_unlisted(req, 503, "no-plan")
+            return
+        state = self._open(req, policy, region, now)
+        self._budgets[req.service].earn()
+        if req.key and policy.keyed and not state.repeatable:
+            yield self._claim(state)
+            return
+        yield from self._ask(state, now)
+
+    def _refuse_unlisted(
+        self, req: RequestArrived, status: int, reason: str
+    ) -> Iterator[Action]:
+        yield Count(f"refused.{reason}")
+        yield Finish(req.request_id, status, NOT_RUN, reason, self._come_back())
+
+    def _come_back(self) -> float:
+        return self._view.rng.uniform(*COME_BACK_S)
+
+    def _region(self, req: RequestArrived) -> str | None:
+        view = self._view
+        group = view.config.group_of(req.service, req.address)
+        plan = view.plans.get(req.service)
+        if plan is None or group is None:
+            return None
+        return plan.region(group, bucket_of(req.service, req.caller))
+
+    def _open(
+        self, req: RequestArrived, policy: SteeringPolicy, region: str, now: float
+    ) -> RequestState:
+        remaining = req.remaining_s or policy.deadline_ms / 1000.0
+        repeatable = req.repeatable
+        if repeatable is None:
+            repeatable = req.method.upper() not in policy.non_repeatable
+        state = RequestState(req, now + remaining, region, repeatable)
+        self.requests[req.request_id] = state
+        heappush(self._deadlines, (state.deadline, req.request_id))
+        return state
+
+    # Keyed requests
+
+    def _claim(self, state: RequestState) -> CreateObject:
+        """Claim the idempotency key in the platform before anything is sent.
+
+        Failure: a caller that got no answer sends the same booking to a second
+        host. Only the platform is seen by both; its create fails for the second.
+        """
+        self._next_call += 1
+        req = state.req
+        state.phase = Phase.CLAIM
+        own = self._view.own.host_id
+        state.claim = f"{own}.{self._view.incarnation}.{req.request_id}"
+        digest = f"{hash64(req.key, 'a'):016x}{hash64(req.key, 'b'):016x}"
+        state.claim_key = f"{CLAIM_KIND}/{req.service}.{digest}"
+        self._by_call[self._next_call] = req.request_id
+        return CreateObject(self._next_call, state.claim_key, {"claim": state.claim})
+
+    def owns_call(self, call_id: int) -> bool:
+        """Tell whether a write belongs to a request."""
+        return call_id in self._by_call
+
+    def write_ended(self, ended: WriteEnded, now: float) -> Iterator[Action]:
+        """Go on once a claim is decided."""
+        state = self.requests.get(self._by_call.pop(ended.call_id))
+        if state is None:
+            return
+        if ended.outcome == "ok":
+            yield from self._ask(state, now)
+        elif ended.outcome == "conflict":
+            # The first holder may have run it; this copy did not, but saying
+            # "not run" would invite the caller to book again under a new key.
+            state.claim_key = ""
+            yield from self._finish(state, 409, UNKNOWN, "duplicate-key")
+        else:
+            yield from self._refuse(state, "store-unavailable", self._come_back())
+
+    # Permits
+
+    def _ask(self, state: RequestState, now: float) -> Iterator[Action]:
+        view = self._view
+        req = state.req
+        remaining = state.deadline - now
+        if remaining < MIN_ATTEMPT_S:
+            yield from self._refuse(state, "deadline", self._come_back())
+            return
+        state.phase = Phase.PERMIT
+        state.asked_at = now
+        state.keeper = view.keeper_of(req.service, state.region, now)
+        ask = msg.Acquire(
+            req.service,
+            state.region,
+            req.request_id,
+            remaining,
+            sorted(state.exclude),
+        )
+        yield SendPeer(state.keeper, ask)
+
+    def granted(self, host_id: str, grant: msg.Grant, now: float) -> Iterator[Action]:
+        """Start an attempt with a permit, or give back one nobody waits for."""
+        state = self.requests.get(grant.request_id)
+        wanted = (
+            state is not None
+            and state.phase is Phase.PERMIT
+            and state.keeper == host_id
+            and state.region == grant.region
+        )
+        if not wanted:
+            yield self._release_unused(host_id, grant)
+            return
+        state.held = Held(grant.permit, grant.server_id, host_id)
+        yield from self._start(state, grant.lease_s * START_PART, now)
+
+    def _release_unused(self, host_id: str, grant: msg.Grant) -> SendPeer:
+        release = msg.Release(
+            grant.service, grant.region, grant.permit, grant.server_id, UNUSED, 0.0
+        )
+        return SendPeer(host_id, release)
+
+    def _start(
+        self, state: RequestState, start_within_s: float, now: float
+    ) -> Iterator[Action]:
+        server_id = state.held.server_id
+        server = self._view.server(state.req.service, server_id)
+        leaving = self._view.leaving_servers(state.req.service)
+        if server is None or server_id in leaving:
+            # Granted before the keeper saw the drain: no new work may start there.
+            yield from self._give_back(state, UNUSED, 0.0)
+            state.exclude.add(server_id)
+            yield from self._ask(state, now)
+            return
+        state.phase = Phase.ATTEMPT
+        state.attempts += 1
+        state.attempt = Attempt(state.attempts, server_id)
+        if state.attempts > 1:
+            yield Count("attempts.retried")
+        yield StartAttempt(
+            state.req.request_id,
+            state.attempts,
+            server_id,
+            server.address,
+            state.deadline - now,
+            start_within_s,
+            state.region != self._view.own.region,
+        )
+
+    def denied(self, host_id: str, no: msg.Denied, now: float) -> Iterator[Action]:
+        """Give the caller the keeper's refusal, or look for the right keeper."""
+        state = self.requests.get(no.request_id)
+        if state is None or state.phase is not Phase.PERMIT:
+            return
+        if state.keeper != host_id or state.region != no.region:
+            return
+        if no.reason == "not-keeper":
+            state.phase = Phase.PAUSE
+            state.resume_at = now + NOT_KEEPER_PAUSE_S
+            yield Count("retries.not-keeper")
+            return
+        yield from self._refuse(state, no.reason, no.retry_after_s)
+
+    def _give_back(
+        self, state: RequestState, result: str, service_s: float
+    ) -> Iterator[Action]:
+        held = state.held
+        state.held = None
+        if held is None:
+            return
+        service = state.req.service
+        release = msg.Release(
+            service, state.region, held.number, held.server_id, result, service_s
+        )
+        current = held.keeper
+        yield SendPeer(current, release)
+
+    def held(self, service: str, region: str) -> list[tuple[str, int]]:
+        """Return backend server and permit of every slot in use."""
+        return [
+            (state.held.server_id, state.held.number)
+            for state in self.requests.values()
+            if state.held is not None
+            and state.req.service == service
+            and state.region == region
+        ]
+
+    # Attempts
+
+    def first_byte(self, request_id: str, number: int) -> None:
+        """Note that the backend server may run the request from now on."""
+        attempt = self._attempt(request_id, number)
+        if attempt is not None:
+            attempt.first_byte_written()
+
+    def head_forwarded(self, request_id: str, number: int) -> None:
+        """Note that the caller has begun to get its answer."""
+        attempt = self._attempt(request_id, number)
+        if attempt is not None:
+            attempt.head_forwarded = True
+
+    def _attempt(self, request_id: str, number: int) -> Attempt | None:
+        state = self.requests.get(request_id)
+        if state is None or state.attempt is None or state.attempt.number != number:
+            return None
+        return state.attempt
+
+    def attempt_ended(self, ended: AttemptEnded, now: float) -> Iterator[Action]:
+        """Release the slot, then decide: done, retry, refuse, unknown or abort."""
+        state = self.requests.get(ended.request_id)
+        attempt = self._attempt(ended.request_id, ended.attempt)
+        if state is None or attempt is None:
+            return
+        attempt.end(ended.ending)
+        yield from self._give_back(state, _RESULTS[ended.ending], ended.service_s)
+        yield Count(f"attempts.{ended.ending.value}")
+        budget = self._budgets[state.req.service]
+        verdict = decide(
+            attempt,
+            ended.ending,
+            repeatable=state.repeatable,
+            body_replayable=ended.body_replayable,
+            time_left=state.deadline - now > MIN_ATTEMPT_S,
+            budget_left=budget.available(),
+        )
+        if verdict is Verdict.RETRY:
+            budget.spend()
+            yield Count(f"retries.{ended.ending.value}")
+            if ended.ending is not Ending.SERVER_NOT_RUN:
+                state.exclude.add(attempt.server_id)
+            yield from self._ask(state, now)
+            return
+        yield from self._settle(state, verdict, ended.ending)
+
+    def _settle(
+        self, state: RequestState, verdict: Verdict, ending: Ending
+    ) -> Iterator[Action]:
+        if verdict is Verdict.REFUSE:
+            reason = _REFUSAL_REASONS.get(ending, "not-sent")
+            yield from self._refuse(state, reason, self._come_back())
+        elif verdict is Verdict.UNKNOWN:
+            status = 504 if ending is Ending.TIMED_OUT else 502
+            yield from self._finish(state, status, UNKNOWN, ending.value)
+        elif verdict is Verdict.ABORT:
+            self._close(state)
+            yield Count(f"aborted.{ending.value}")
+            yield AbortAnswer(state.req.request_id)
+        else:
+            self._close(state)
+            yield Count("answered")
+
+    # Endings
+
+    def _refuse(
+        self, state: RequestState, reason: str, retry_after_s: float
+    ) -> Iterator[Action]:
+        self.last_refusals[state.req.service] = reason
+        yield from self._finish(state, 503, NOT_RUN, reason, retry_after_s)
+
+    def _finish(
+        self,
+        state: RequestState,
+        status: int,
+        outcome: str,
+        reason: str,
+        retry_after_s: float = 0.0,
+    ) -> Iterator[Action]:
+        self._close(state)
+        kind = "refused" if outcome == NOT_RUN else "unknown"
+        yield Count(f"{kind}.{reason}")
+        if outcome == NOT_RUN and state.claim_key:
+            # The key must be free again, or the caller's retry would be told that
+            # its booking is a duplicate although it never ran.
+            yield DropClaim(state.claim_key, state.claim)
+        yield Finish(state.req.request_id, status, outcome, reason, retry_after_s)
+
+    def _close(self, state: RequestState) -> None:
+        self.requests.pop(state.req.request_id, None)
+
+    def cancelled(self, request_id: str, now: float) -> Iterator[Action]:
+        """The caller has gone: stop what can be stopped."""
+        state = self.requests.get(request_id)
+        if state is None:
+            return
+        yield Count("cancelled")
+        if state.phase is Phase.PERMIT:
+            yield from self._withdraw(state)
+        if state.phase is Phase.ATTEMPT:
+            yield CancelAttempt(request_id, state.attempt.number)
+            return
+        self._close(state)
+        if state.claim_key:
+            yield DropClaim(state.claim_key, state.claim)
+
+    def _withdraw(self, state: RequestState) -> Iterator[Action]:
+        gone = msg.Withdraw(state.req.service, state.region, state.req.request_id)
+        yield SendPeer(state.keeper, gone)
+
+    # Time
+
+    def tick(self, now: float) -> Iterator[Action]:
+        """End what is late, follow keeper changes, renew leases."""
+        yield from self._end_late(now)
+        for state in list(self.requests.values()):
+            if state.phase is Phase.PERMIT:
+                yield from self._review_wait(state, now)
+            elif state.phase is Phase.PAUSE and now >= state.resume_at:
+                yield from self._ask(state, now)
+        if now - self._renewed_at >= RENEW_S:
+            self._renewed_at = now
+            yield from self._renew(now)
+
+    def _end_late(self, now: float) -> Iterator[Action]:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            deadline, request_id = heappop(self._deadlines)
+            state = self.requests.get(request_id)
+            if state is None or state.deadline != deadline:
+                continue
+            yield from self._late(state)
+
+    def _late(self, state: RequestState) -> Iterator[Action]:
+        if state.phase is Phase.ATTEMPT:
+            # The driver answers with an AttemptEnded, which settles the stage. An
+            # answer already on its way to the caller is left to arrive whole.
+            if not state.attempt.head_forwarded:
+                yield CancelAttempt(state.req.request_id, state.attempt.number)
+            return
+        if state.phase is Phase.PERMIT:
+            yield from self._withdraw(state)
+        yield from self._refuse(state, "deadline", self._come_back())
+
+    def _review_wait(self, state: RequestState, now: float) -> Iterator[Action]:
+        """Ask the new keeper after a change; use the fixed share in a silence."""
+        view = self._view
+        keeper = view.keeper_of(state.req.service, state.region, now)
+        if keeper != state.keeper:
+            yield Count("retries.keeper-changed")
+            yield from self._withdraw(state)
+            yield from self._ask(state, now)
+            return
+        silent = view.members.silence(keeper, now)
+        waited = now - state.asked_at
+        if min(silent, waited) > KEEPER_SILENCE_S:
+            yield from self._use_share(state, now)
+
+    def _use_share(self, state: RequestState, now: float) -> Iterator[Action]:
+        """Start without a keeper's permit, within this host's fixed share.
+
+        Failure: the keeper is frozen and not yet found out. Waiting would refuse
+        everything of the region for a second or more. The share of all hosts
+        together stays under the region's slots, and what the silent keeper had
+        granted besides is shed by the backend servers, which say "not run".
+        """
+        service = state.req.service
+        if state.region != self._view.own.region:
+            return
+        in_use = self._in_use(service, state.region)
+        if sum(in_use.values()) >= self._share(service, state.region, now):
+            return
+        server_id = self._least_used(state, in_use)
+        if server_id is None:
+            return
+        yield from self._withdraw(state)
+        yield Count("attempts.fixed-share")
+        self._next_local_permit += 1
+        number = (self._view.incarnation << 32) + self._next_local_permit
+        state.held = Held(number, server_id, state.keeper)
+        yield from self._start(state, KEEPER_SILENCE_S, now)
+
+    def _in_use(self, service: str, region: str) -> dict[str, int]:
+        in_use: dict[str, int] = defaultdict(int)
+        for server_id, _ in self.held(service, region):
+            in_use[server_id] += 1
+        return in_use
+
+    def _share(self, service: str, region: str, now: float) -> int:
+        hosts = len(self._view.members.live(now, region)) or 1
+        limit = self._view.config.pools[service].limit(region)
+        return max(1, int(limit / (hosts + 1)))
+
+    def _least_used(self, state: RequestState, in_use: dict[str, int]) -> str | None:
+        leaving = self._view.leaving_servers(state.req.service) | state.exclude
+        servers = self._view.region_servers(state.req.service, state.region)
+        usable = [srv.server_id for srv in servers if srv.server_id not in leaving]
+        key = state.req.request_id
+        return min(
+            usable,
+            key=lambda sid: (in_use.get(sid, 0), hash64(key, sid)),
+            default=None,
+        )
+
+    def _renew(self, now: float) -> Iterator[Action]:
+        held: dict[tuple[str, str], list[tuple[str, int]]] = defaultdict(list)
+        for state in self.requests.values():
+            if state.held is None:
+                continue
+            key = (state.req.service, state.region)
+            held[key].append((state.held.server_id, state.held.number))
+            # Renewals go to the keeper of the day, and so does the release.
+            state.held.keeper = self._view.keeper_of(*key, now)
+        for (service, region), slots in held.items():
+            keeper = self._view.keeper_of(service, region, now)
+            yield SendPeer(keeper, msg.Renew(service, region, slots))
--- /dev/null
+++ b/lacewingcross/core/resources.py
@@ -0,0 +1,232 @@
+"""Declared resources as checked values, and their form in the platform's store."""
+
+import ipaddress
+import json
+from dataclasses import dataclass, field
+
+from ..checks import Reader
+from ..errors import ResourceError
+
+POLICY = "SteeringPolicy"
+CAP = "ShiftCap"
+POOL = "BackendPool"
+DRAIN = "Drain"
+PLAN = "Plan"
+OPERATOR_KINDS = (POLICY, CAP, POOL, DRAIN)
+RESERVED_NAMES = ("v1",)
+ALL_CLIENTS = "*"
+DRAIN_TARGETS = ("server", "region", "failure_domain", "host")
+
+DEFAULT_DEADLINE_MS = 10_000
+DEFAULT_LOOKUP_TTL_S = 30.0
+DEFAULT_CAP_FRACTION = 0.05
+DEFAULT_CAP_WINDOW_S = 10.0
+
+
+@dataclass(slots=True, frozen=True)
+class ClientGroup:
+    """Client blocks that share their weights over the regions."""
+
+    name: str
+    blocks: tuple[str, ...]
+    weights: dict[str, float]
+
+
+@dataclass(slots=True, frozen=True)
+class SteeringPolicy:
+    """Where each client group of a service should go, and how to treat requests."""
+
+    service: str
+    groups: tuple[ClientGroup, ...]
+    failover: tuple[str, ...] = ()
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+    lookup_ttl_s: float = DEFAULT_LOOKUP_TTL_S
+    non_repeatable: tuple[str, ...] = ("POST", "PATCH")
+    keyed: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class ShiftCap:
+    """Most traffic of a service, as a fraction, that may move in any window."""
+
+    service: str
+    fraction: float = DEFAULT_CAP_FRACTION
+    window_s: float = DEFAULT_CAP_WINDOW_S
+
+
+@dataclass(slots=True, frozen=True)
+class BackendServer:
+    """One backend server of a pool."""
+
+    server_id: str
+    address: str
+    region: str
+    failure_domain: str
+    slots: int
+    connections: int
+
+
+@dataclass(slots=True, frozen=True)
+class BackendPool:
+    """The backend servers of a service and each region's declared limit."""
+
+    service: str
+    servers: tuple[BackendServer, ...]
+    region_limits: dict[str, float] = field(default_factory=dict)
+
+    def regions(self) -> list[str]:
+        """Return the regions that have backend servers, sorted."""
+        return sorted({server.region for server in self.servers})
+
+    def limit(self, region: str) -> float:
+        """Return the most requests in flight that `region` may be given."""
+        slots = sum(srv.slots for srv in self.servers if srv.region == region)
+        return min(float(slots), self.region_limits.get(region, float(slots)))
+
+
+@dataclass(slots=True, frozen=True)
+class Drain:
+    """A planned stop of one backend server, region, failure domain or entry host."""
+
+    name: str
+    target: str
+    value: str
+    service: str = ""
+
+
+Resource = SteeringPolicy | ShiftCap | BackendPool | Drain
+
+
+def parse(kind: str, name: str, spec: object, where: str = "resource") -> Resource:
+    """Check the spec of a resource.
+
+    Parameters
+    ----------
+    kind : str
+        One of ``OPERATOR_KINDS``.
+    name : str
+        Name of the resource; the service's name for all kinds but Drain.
+    spec : object
+        Decoded JSON.
+    where : str
+        Path shown in errors.
+
+    Returns
+    -------
+    resource : SteeringPolicy, ShiftCap, BackendPool or Drain
+
+    Raises
+    ------
+    ResourceError
+        With code ``bad-kind``, ``bad-field`` or ``unknown-field``.
+    """
+    parser = _PARSERS.get(kind)
+    if parser is None:
+        known = ", ".join(OPERATOR_KINDS)
+        raise ResourceError(
+            "bad-kind", f"{where}: expected a kind of {known}, got {kind!r}"
+        )
+    if name in RESERVED_NAMES:
+        raise ResourceError("bad-field", f"{where}: the name {name!r} is reserved")
+    reader = Reader(spec, f"{where}.spec", ResourceError)
+    resource = parser(name, reader)
+    reader.finish()
+    return resource
+
+
+def _parse_group(reader: Reader) -> ClientGroup:
+    name = reader.name("name")
+    blocks = []
+    raw = reader._take("blocks", [])
+    if not isinstance(raw, list):
+        raise reader.fail("blocks", "a list of networks like 10.1.0.0/16", raw)
+    for block in raw:
+        try:
+            blocks.append(str(ipaddress.IPv4Network(block)))
+        except (ValueError, TypeError):
+            raise reader.fail("blocks", "networks like 10.1.0.0/16", block) from None
+    weights = reader.weights("weights")
+    if not any(weight > 0 for weight in weights.values()):
+        raise reader.fail("weights", "at least one weight above 0", weights)
+    reader.finish()
+    return ClientGroup(name, tuple(blocks), weights)
+
+
+def _parse_policy(name: str, reader: Reader) -> SteeringPolicy:
+    groups = tuple(_parse_group(child) for child in reader.children("groups"))
+    if not groups:
+        raise reader.fail("groups", "at least one group", [])
+    names = [group.name for group in groups]
+    if len(set(names)) != len(names):
+        raise reader.fail("groups", "groups with different names", names)
+    methods = reader.names("non_repeatable_methods", ["POST", "PATCH"])
+    return SteeringPolicy(
+        service=name,
+        groups=groups,
+        failover=tuple(reader.names("failover", [])),
+        deadline_ms=reader.integer("deadline_ms", DEFAULT_DEADLINE_MS, low=1),
+        lookup_ttl_s=reader.number("lookup_ttl_s", DEFAULT_LOOKUP_TTL_S, low=0.1),
+        non_repeatable=tuple(method.upper() for method in methods),
+        keyed=reader.boolean("keyed", True),
+    )
+
+
+def _parse_cap(name: str, reader: Reader) -> ShiftCap:
+    return ShiftCap(
+        service=name,
+        fraction=reader.number("fraction", low=0.0, high=1.0),
+        window_s=reader.number("window_s", low=0.1, high=86_400.0),
+    )
+
+
+def _parse_server(reader: Reader) -> BackendServer:
+    server = BackendServer(
+        server_id=reader.name("id"),
+        address=reader.address("address"),
+        region=reader.name("region"),
+        failure_domain=reader.name("failure_domain"),
+        slots=reader.integer("slots", low=1, high=100_000),
+        connections=reader.integer("connections", 330, low=1),
+    )
+    reader.finish()
+    return server
+
+
+def _parse_pool(name: str, reader: Reader) -> BackendPool:
+    servers = tuple(_parse_server(child) for child in reader.children("servers"))
+    ids = [server.server_id for server in servers]
+    if len(set(ids)) != len(ids):
+        raise reader.fail("servers", "backend servers with different ids", ids)
+    return BackendPool(name, servers, reader.weights("region_limits", {}))
+
+
+def _parse_drain(name: str, reader: Reader) -> Drain:
+    named = [target for target in DRAIN_TARGETS if reader.has(target)]
+    if len(named) != 1:
+        raise reader.fail("", "exactly one of " + ", ".join(DRAIN_TARGETS), named)
+    value = reader.name(named[0])
+    return Drain(name, named[0], value, reader.name("service", ""))
+
+
+_PARSERS = {
+    POLICY: _parse_policy,
+    CAP: _parse_cap,
+    POOL: _parse_pool,
+    DRAIN: _parse_drain,
+}
+
+
+def object_key(kind: str, name: str) -> str:
+    """Return the platform key of a resource."""
+    return f"{kind}/{name}"
+
+
+def split_key(key: str) -> tuple[str, str]:
+    """Return kind and name of a platform key."""
+    kind, _, name = key.partition("/")
+    return kind, name
+
+
+def encode_value(value: object) -> str:
+    """Return the canonical JSON text of a stored value."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":"))
--- /dev/null
+++ b/lacewingcross/settings.py
@@ -0,0 +1,180 @@
+"""Settings files: JSON, checked, one for each process."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+from . import logs
+from .checks import Reader
+from .errors import SettingsError
+
+
+@dataclass(slots=True, frozen=True)
+class TlsSettings:
+    """Files for TLS; all empty means plain TCP."""
+
+    cert: str = ""
+    key: str = ""
+    ca: str = ""
+
+    @property
+    def enabled(self) -> bool:
+        """Tell whether TLS is on."""
+        return bool(self.cert)
+
+
+@dataclass(slots=True, frozen=True)
+class HostSettings:
+    """What one entry host is told at start; all else comes from the platform."""
+
+    host_id: str
+    region: str
+    failure_domain: str
+    entry: str
+    peer: str
+    operators: str
+    platform: str
+    log_level: str = "INFO"
+    trust_client_address: bool = False
+    max_connections: int = 4000
+    max_body_bytes: int = 1 << 31
+    tls: TlsSettings = TlsSettings()
+
+
+@dataclass(slots=True, frozen=True)
+class KnownHost:
+    """One entry of the platform stand-in's list of hosts."""
+
+    host_id: str
+    region: str
+    failure_domain: str
+    entry: str
+    peer: str
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformSettings:
+    """Settings of the platform's stand-in."""
+
+    listen: str
+    hosts: tuple[KnownHost, ...]
+    list_lag_s: float = 1.0
+    log_level: str = "INFO"
+
+
+@dataclass(slots=True, frozen=True)
+class BackendSettings:
+    """Settings of a backend server's stand-in."""
+
+    server_id: str
+    listen: str
+    slots: int = 4
+    connections: int = 330
+    service_ms: float = 20.0
+    service_shape: str = "exponential"
+    cold_factor: float = 1.0
+    cold_requests: int = 0
+    queue: int = 0
+    seed: int = 1
+    log_level: str = "INFO"
+
+
+def read_json(path: str) -> object:
+    """Return the decoded content of the JSON file at `path`.
+
+    Raises
+    ------
+    SettingsError
+        With code ``unreadable`` or ``bad-json``.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError("unreadable", f"{path}: {exc}") from exc
+    try:
+        return json.loads(text)
+    except (json.JSONDecodeError, RecursionError) as exc:
+        raise SettingsError("bad-json", f"{path}: expected JSON, {exc}") from exc
+
+
+def _read_tls(reader: Reader) -> TlsSettings:
+    if not reader.has("tls"):
+        return TlsSettings()
+    inner = reader.child("tls")
+    tls = TlsSettings(inner.text("cert"), inner.text("key"), inner.text("ca"))
+    inner.finish()
+    return tls
+
+
+def load_host(path: str) -> HostSettings:
+    """Read the settings of an entry host.
+
+    Raises
+    ------
+    SettingsError
+        Names the file, the field and what was expected.
+    """
+    reader = Reader(read_json(path), path, SettingsError)
+    cfg = HostSettings(
+        host_id=reader.name("host_id"),
+        region=reader.name("region"),
+        failure_domain=reader.name("failure_domain"),
+        entry=reader.address("entry"),
+        peer=reader.address("peer"),
+        operators=reader.address("operators"),
+        platform=reader.address("platform"),
+        log_level=reader.text("log_level", "INFO", logs.LEVELS),
+        trust_client_address=reader.boolean("trust_client_address", False),
+        max_connections=reader.integer("max_connections", 4000, low=1),
+        max_body_bytes=reader.integer("max_body_bytes", 1 << 31, low=0, high=1 << 40),
+        tls=_read_tls(reader),
+    )
+    reader.finish()
+    return cfg
+
+
+def _read_known_host(reader: Reader) -> KnownHost:
+    known = KnownHost(
+        reader.name("host_id"),
+        reader.name("region"),
+        reader.name("failure_domain"),
+        reader.address("entry"),
+        reader.address("peer"),
+    )
+    reader.finish()
+    return known
+
+
+def load_platform(path: str) -> PlatformSettings:
+    """Read the settings of the platform's stand-in."""
+    reader = Reader(read_json(path), path, SettingsError)
+    cfg = PlatformSettings(
+        listen=reader.address("listen"),
+        hosts=tuple(_read_known_host(child) for child in reader.children("hosts", [])),
+        list_lag_s=reader.number("list_lag_s", 1.0),
+        log_level=reader.text("log_level", "INFO", logs.LEVELS),
+    )
+    reader.finish()
+    return cfg
+
+
+def load_backend(path: str) -> BackendSettings:
+    """Read the settings of a backend server's stand-in."""
+    reader = Reader(read_json(path), path, SettingsError)
+    cfg = BackendSettings(
+        server_id=reader.name("server_id"),
+        listen=reader.address("listen"),
+        slots=reader.integer("slots", 4, low=1),
+        connections=reader.integer("connections", 330, low=1),
+        service_ms=reader.number("service_ms", 20.0),
+        service_shape=reader.text(
+            "service_shape", "exponential", ("exponential", "fixed", "heavy")
+        ),
+        cold_factor=reader.number("cold_factor", 1.0, low=1.0),
+        cold_requests=reader.integer("cold_requests", 0),
+        queue=reader.integer("queue", 0),
+        seed=reader.integer("seed", 1),
+        log_level=reader.text("log_level", "INFO", logs.LEVELS),
+    )
+    reader.finish()
+    return cfg
