--- /dev/null
+++ b/lacewingcross/caller.py
@@ -0,0 +1,335 @@
+"""The caller library: look-up, choice of entry host, retry only where safe."""
+
+import asyncio
+import json
+import random
+import ssl as ssl_module
+import uuid
+from collections.abc import AsyncIterable
+from dataclasses import dataclass, field
+from urllib.parse import urlencode
+
+from . import headers as hd
+from .clock import Clock, SystemClock
+from .http1_client import ClientConnection, HttpClient, HttpError
+
+ANSWERED = "answered"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+LOOKUP_TIMEOUT_S = 2.0
+DEFAULT_DEADLINE_S = 10.0
+MAX_TRIES = 6
+MIN_PAUSE_S = 0.05
+HOST_AVOID_S = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """What became of a request.
+
+    Attributes
+    ----------
+    outcome : {"answered", "not-run", "unknown"}
+        "not-run" is a proof; "unknown" means that it may have run.
+    status : int
+        HTTP status, 0 when no response came.
+    reason : str
+        Reason code of a refusal or of an unknown outcome.
+    retry_after_s : float
+        When to come back, in seconds; 0 when nobody said.
+    tries : int
+        How often the request was sent or refused.
+    """
+
+    outcome: str
+    status: int
+    headers: hd.HeaderList = field(default_factory=list)
+    body: bytes = b""
+    reason: str = ""
+    retry_after_s: float = 0.0
+    tries: int = 1
+
+
+@dataclass(slots=True)
+class _Route:
+    addresses: list[str]
+    until: float
+
+
+class Caller:
+    """Sends requests through the entry hosts that the system names.
+
+    Parameters
+    ----------
+    seeds : list of str
+        Addresses of some entry hosts; any of them answers look-ups.
+    caller_id : str, optional
+        Stable identity; the same id keeps going to the same hosts.
+    address : str, optional
+        Client address to be looked up with, if not that of the connection.
+    clock : Clock, optional
+        Source of time.
+    rng : random.Random, optional
+        Source of the order in which seeds are asked.
+    ssl : ssl.SSLContext, optional
+        For TLS to entry hosts.
+    """
+
+    def __init__(
+        self,
+        seeds: list[str],
+        *,
+        caller_id: str = "",
+        address: str = "",
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+        ssl: ssl_module.SSLContext | None = None,
+    ) -> None:
+        self.caller_id = caller_id or uuid.uuid4().hex
+        self._seeds = list(seeds)
+        self._address = address
+        self._now = (clock or SystemClock()).monotonic
+        self._rng = rng or random.Random(self.caller_id)
+        self._ssl = ssl
+        self._routes: dict[str, _Route] = {}
+        self._avoid: dict[str, float] = {}
+        self._idle: dict[str, list[ClientConnection]] = {}
+
+    async def lookup(self, service: str) -> list[str]:
+        """Return the addresses of entry hosts for `service`, best first.
+
+        An answer is used until its lifetime ends. When no host answers, the last
+        one is used on, or the seeds: an old answer is better than none.
+        """
+        route = self._routes.get(service)
+        if route is not None and self._now() < route.until:
+            return route.addresses
+        known = route.addresses if route else []
+        seeds = list(self._seeds)
+        self._rng.shuffle(seeds)
+        for address in [*known, *seeds]:
+            fresh = await self._ask(address, service)
+            if fresh is not None:
+                self._routes[service] = fresh
+                return fresh.addresses
+        return known or seeds
+
+    async def _ask(self, address: str, service: str) -> _Route | None:
+        query = {"service": service, "caller": self.caller_id}
+        if self._address:
+            query["address"] = self._address
+        client = HttpClient(address, self._ssl)
+        try:
+            response = await client.request(
+                "GET", "/v1/lookup?" + urlencode(query), timeout_s=LOOKUP_TIMEOUT_S
+            )
+            data = json.loads(response.body)
+            addresses = [item["address"] for item in data["hosts"]]
+            ttl = float(data["ttl_s"])
+        except (HttpError, ValueError, KeyError, TypeError):
+            return None
+        finally:
+            client.close()
+        return _Route(addresses, self._now() + ttl) if addresses else None
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        *,
+        service: str,
+        body: bytes | AsyncIterable[bytes] = b"",
+        headers: hd.HeaderList | None = None,
+        deadline_s: float = DEFAULT_DEADLINE_S,
+        repeatable: bool | None = None,
+        key: str = "",
+        request_id: str = "",
+        max_tries: int = MAX_TRIES,
+    ) -> Answer:
+        """Send a request and return what became of it.
+
+        Parameters
+        ----------
+        method, target : str
+            Of the HTTP request.
+        service : str
+            Service to be looked up.
+        body : bytes or async iterable of bytes
+            A streamed body can be sent once only, so its request is never tried
+            again after its first part was read.
+        headers : list of (bytes, bytes), optional
+            Further headers, names in lower case.
+        deadline_s : float, default=10.0
+            Time for all tries together.
+        repeatable : bool, optional
+            Whether it may run twice; by default all methods but POST and PATCH.
+        key : str, optional
+            Idempotency key, kept over all tries.
+        request_id : str, optional
+            Kept over all tries.
+        max_tries : int, default=6
+            Most tries.
+
+        Returns
+        -------
+        answer : Answer
+        """
+        trip = _Trip(
+            method,
+            target,
+            service,
+            body,
+            headers or [],
+            self._now() + deadline_s,
+            method.upper() not in ("POST", "PATCH")
+            if repeatable is None
+            else repeatable,
+            key,
+            request_id or uuid.uuid4().hex,
+        )
+        answer = Answer(NOT_RUN, 0, reason="no-host", tries=0)
+        for tries in range(1, max_tries + 1):
+            answer = await self._try(trip, tries)
+            if not self._may_try_again(trip, answer):
+                return answer
+            pause = max(MIN_PAUSE_S, answer.retry_after_s)
+            if self._now() + pause >= trip.deadline:
+                return answer
+            if tries < max_tries:
+                await asyncio.sleep(pause)
+        return answer
+
+    def _may_try_again(self, trip: "_Trip", answer: Answer) -> bool:
+        if answer.outcome == ANSWERED or trip.body_consumed:
+            return False
+        if answer.outcome == NOT_RUN:
+            return answer.status in (0, 503)
+        return trip.repeatable
+
+    async def _try(self, trip: "_Trip", tries: int) -> Answer:
+        address = await self._choose(trip.service)
+        if address is None:
+            return Answer(NOT_RUN, 0, reason="no-host", tries=tries)
+        conn = None
+        sent = False
+        try:
+            async with asyncio.timeout(max(0.001, trip.deadline - self._now())):
+                conn = await self._connect(address, trip.repeatable)
+                sent = True
+                answer = await self._exchange(conn, address, trip, tries)
+        except HttpError as exc:
+            self._avoid[address] = self._now() + HOST_AVOID_S
+            outcome = UNKNOWN if exc.sent else NOT_RUN
+            answer = Answer(outcome, 0, reason=exc.reason, tries=tries)
+        except TimeoutError:
+            outcome = UNKNOWN if sent else NOT_RUN
+            answer = Answer(outcome, 0, reason="deadline", tries=tries)
+        if conn is not None:
+            self._put_back(address, conn, answer)
+        return answer
+
+    async def _choose(self, service: str) -> str | None:
+        addresses = await self.lookup(service)
+        now = self._now()
+        good = [addr for addr in addresses if self._avoid.get(addr, 0.0) <= now]
+        if good:
+            return good[0]
+        # All hosts of the answer failed lately: look up again next time.
+        self._routes.pop(service, None)
+        return self._rng.choice(addresses) if addresses else None
+
+    async def _connect(self, address: str, repeatable: bool) -> ClientConnection:
+        idle = self._idle.get(address, [])
+        while idle:
+            conn = idle.pop()
+            # A kept connection may close as we write on it, and the outcome would
+            # be unknown; a request that may not be repeated gets a new one.
+            if repeatable and not conn.stale():
+                return conn
+            conn.close()
+        return await ClientConnection.open(address, self._ssl)
+
+    def _put_back(self, address: str, conn: ClientConnection, answer: Answer) -> None:
+        if answer.status and conn.reusable():
+            self._idle.setdefault(address, []).append(conn)
+        else:
+            conn.close()
+
+    async def _exchange(
+        self, conn: ClientConnection, address: str, trip: "_Trip", tries: int
+    ) -> Answer:
+        await conn.send_head(trip.method, trip.target, self._fields(address, trip))
+        sender = asyncio.get_running_loop().create_task(trip.send_body(conn))
+        try:
+            head = await conn.read_head()
+            parts = [part async for part in conn.read_body()]
+        finally:
+            if not sender.done():
+                sender.cancel()
+            await asyncio.gather(sender, return_exceptions=True)
+        outcome = hd.find(head.headers, hd.OUTCOME) or ANSWERED
+        wait = hd.milliseconds(head.headers, hd.RETRY_AFTER_MS) or 0.0
+        return Answer(
+            outcome,
+            head.status,
+            head.headers,
+            b"".join(parts),
+            hd.find(head.headers, hd.REASON),
+            wait,
+            tries,
+        )
+
+    def _fields(self, address: str, trip: "_Trip") -> hd.HeaderList:
+        remaining = max(1, int((trip.deadline - self._now()) * 1000))
+        fields = [
+            (b"host", address.encode()),
+            (hd.SERVICE, trip.service.encode()),
+            (hd.REQUEST_ID, trip.request_id.encode()),
+            (hd.CALLER_ID, self.caller_id.encode()),
+            (hd.DEADLINE_MS, str(remaining).encode()),
+            (hd.REPEATABLE, b"yes" if trip.repeatable else b"no"),
+            *trip.headers,
+        ]
+        if self._address:
+            fields.append((hd.CLIENT_ADDRESS, self._address.encode()))
+        if trip.key:
+            fields.append((hd.IDEMPOTENCY_KEY, trip.key.encode()))
+        if not isinstance(trip.body, bytes):
+            fields.append((hd.TRANSFER_ENCODING, b"chunked"))
+        elif trip.body or trip.method in ("POST", "PUT", "PATCH"):
+            fields.append((hd.CONTENT_LENGTH, str(len(trip.body)).encode()))
+        return fields
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        for idle in self._idle.values():
+            for conn in idle:
+                conn.close()
+        self._idle.clear()
+
+
+@dataclass(slots=True)
+class _Trip:
+    """One logical request over all its tries."""
+
+    method: str
+    target: str
+    service: str
+    body: bytes | AsyncIterable[bytes]
+    headers: hd.HeaderList
+    deadline: float
+    repeatable: bool
+    key: str
+    request_id: str
+    body_consumed: bool = False
+
+    async def send_body(self, conn: ClientConnection) -> None:
+        """Write the body and end the request."""
+        if isinstance(self.body, bytes):
+            if self.body:
+                await conn.send_body(self.body)
+        else:
+            self.body_consumed = True
+            async for part in self.body:
+                await conn.send_body(part)
+        await conn.finish()
--- /dev/null
+++ b/lacewingcross/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: a thin layer over the library."""
--- /dev/null
+++ b/lacewingcross/cli/daemons.py
@@ -0,0 +1,64 @@
+"""Commands that run processes: the entry host, the stand-ins, the demo."""
+
+import asyncio
+import signal
+
+from .. import logs, settings
+from ..host.app import run_host
+from ..standins.backend import BackendStandin
+from ..standins.platform import PlatformStandin
+from .runner import run
+
+
+def host(*, cfg: str) -> None:
+    """Run an entry host until SIGTERM; requests in flight are finished first.
+
+    Example: lacewingcross host --cfg host-1.json
+
+    Parameters
+    ----------
+    cfg : str
+        Settings file.
+    """
+    run(run_host(settings.load_host(cfg)))
+
+
+def platform(*, cfg: str) -> None:
+    """Run the platform's stand-in.
+
+    Example: lacewingcross standin platform --cfg platform.json
+
+    Parameters
+    ----------
+    cfg : str
+        Settings file.
+    """
+    loaded = settings.load_platform(cfg)
+    logs.setup(loaded.log_level, standin="platform")
+    run(_serve(PlatformStandin(loaded)))
+
+
+def backend(*, cfg: str) -> None:
+    """Run the stand-in of a backend server.
+
+    Example: lacewingcross standin backend --cfg booking-1.json
+
+    Parameters
+    ----------
+    cfg : str
+        Settings file.
+    """
+    loaded = settings.load_backend(cfg)
+    logs.setup(loaded.log_level, standin=loaded.server_id)
+    run(_serve(BackendStandin(loaded)))
+
+
+async def _serve(standin: PlatformStandin | BackendStandin) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    port = await standin.start()
+    logs.event("standin-started", port=port)
+    await stop.wait()
+    await standin.close()
--- /dev/null
+++ b/lacewingcross/cli/demo.py
@@ -0,0 +1,21 @@
+"""The demo command; what it shows is in `lacewingcross.demo`."""
+
+import sys
+
+from .runner import run
+
+
+def demo(*, seed: int = 1) -> None:
+    """Show traffic being steered, all in one process, in under a minute.
+
+    Example: lacewingcross demo
+
+    Parameters
+    ----------
+    seed : int
+        Seed of callers and service times.
+    """
+    from ..demo import run_demo
+
+    run(run_demo(seed))
+    sys.stdout.flush()
--- /dev/null
+++ b/lacewingcross/cli/main.py
@@ -0,0 +1,53 @@
+"""Entry point of the command line."""
+
+import sys
+
+import defopt
+
+from .. import __version__
+from ..errors import UserError
+from . import daemons, resources
+from .demo import demo
+
+EXIT_USER_ERROR = 1
+EXIT_NOT_YET = 3
+EXIT_INTERRUPTED = 130
+_NOT_YET = ("not-in-force", "not-drained", "unavailable", "unknown-outcome")
+
+COMMANDS = {
+    "host": daemons.host,
+    "standin": {"platform": daemons.platform, "backend": daemons.backend},
+    "apply": resources.apply,
+    "get": resources.get,
+    "watch": resources.watch,
+    "status": resources.status,
+    "drain": resources.drain,
+    "undrain": resources.undrain,
+    "delete": resources.delete,
+    "explain": resources.explain,
+    "export": resources.export,
+    "check-config": resources.check_config,
+    "demo": demo,
+}
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run one command.
+
+    Exit status: 0 done, 1 refused with a coded error, 2 wrong usage, 3 accepted or
+    unclear but not yet in force, 130 interrupted.
+    """
+    try:
+        defopt.run(
+            COMMANDS,
+            argv=argv,
+            version=__version__,
+            short={"file": "f", "output": "o", "wait": "w"},
+            cli_options="has_default",
+            no_negated_flags=True,
+        )
+    except UserError as exc:
+        print(f"error: {exc}", file=sys.stderr)
+        sys.exit(EXIT_NOT_YET if exc.code in _NOT_YET else EXIT_USER_ERROR)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_INTERRUPTED)
--- /dev/null
+++ b/lacewingcross/cli/resources.py
@@ -0,0 +1,406 @@
+"""Operators' commands on resources."""
+
+import getpass
+import os
+import sys
+import time
+from typing import Literal
+
+from .. import settings
+from ..core import resources as res
+from ..core.plan import decode_plan
+from ..core.reports import REPORT_KIND
+from ..errors import UserError
+from ..operations import Document, Operator, read_documents
+from ..platform_client import PlatformClient, StoredObject
+from .output import print_json, print_table
+from .runner import run
+
+Output = Literal["table", "json"]
+PLATFORM_VARIABLE = "LACEWINGCROSS_PLATFORM"
+DEFAULT_TIMEOUT_S = 30.0
+_KINDS = {kind.lower(): kind for kind in (*res.OPERATOR_KINDS, res.PLAN, REPORT_KIND)}
+
+
+def _operator(platform: str) -> Operator:
+    address = platform or os.environ.get(PLATFORM_VARIABLE, "")
+    if not address:
+        raise UserError(
+            "no-platform", f"give --platform IP:PORT or set {PLATFORM_VARIABLE}"
+        )
+    writer = f"{getpass.getuser()}/{os.getpid()}"
+    return Operator(PlatformClient(address, writer=writer))
+
+
+def _kind(text: str) -> str:
+    kind = _KINDS.get(text.lower())
+    if kind is None:
+        raise UserError("bad-kind", f"{text!r}: expected one of " + ", ".join(_KINDS))
+    return kind
+
+
+def apply(
+    *, file: str, platform: str = "", wait: bool = False, timeout: float = 30.0
+) -> None:
+    """Create or replace the resources in a file.
+
+    Example: lacewingcross apply -f policy.json --wait
+
+    Parameters
+    ----------
+    file : str
+        JSON file with one resource, a list of them, or "items"; "-" for
+        standard input.
+    platform : str
+        IP:PORT of the platform; by default from LACEWINGCROSS_PLATFORM.
+    wait : bool
+        Return only when every live host has it in force.
+    timeout : float
+        Longest wait in seconds.
+    """
+    data = settings.read_json("/dev/stdin" if file == "-" else file)
+    documents = read_documents(data, file)
+    run(_apply(_operator(platform), documents, wait, timeout))
+
+
+async def _apply(
+    operator: Operator, documents: list[Document], wait: bool, timeout: float
+) -> None:
+    newest = 0
+    for document in documents:
+        applied = await operator.apply(document)
+        newest = max(newest, applied.version)
+        print(f"{applied.key} {applied.change} version={applied.version}")
+    if wait:
+        state = await operator.wait_in_force(newest, timeout)
+        print(f"in force on {len(state.live)} hosts version={newest}")
+
+
+def get(
+    kind: str, name: str = "", *, platform: str = "", output: Output = "table"
+) -> None:
+    """Show stored resources.
+
+    Example: lacewingcross get shiftcap calendar --output json
+
+    Parameters
+    ----------
+    kind : str
+        SteeringPolicy, ShiftCap, BackendPool, Drain, Plan or Report.
+    name : str
+        Only this one.
+    platform : str
+        IP:PORT of the platform.
+    output
+        Form of the output.
+    """
+    run(_get(_operator(platform), _kind(kind), name, output))
+
+
+async def _get(operator: Operator, kind: str, name: str, output: Output) -> None:
+    items = await operator.resources(kind)
+    if name:
+        items = [item for item in items if item.key == res.object_key(kind, name)]
+        if not items:
+            raise UserError("not-found", f"{kind}/{name}: no such resource")
+    if output == "json":
+        print_json({"items": [_item(item) for item in items]})
+        return
+    rows = [
+        (item.key, item.version, item.writer() or "-", _summary(item)) for item in items
+    ]
+    print_table(("RESOURCE", "VERSION", "WRITTEN-BY", "SPEC"), rows)
+
+
+def _item(item: StoredObject) -> dict[str, object]:
+    kind, name = res.split_key(item.key)
+    return {"kind": kind, "name": name, "version": item.version, "spec": item.spec()}
+
+
+def _summary(item: StoredObject) -> str:
+    text = res.encode_value(item.spec())
+    return text if len(text) <= 60 else text[:57] + "..."
+
+
+def watch(kind: str = "", *, platform: str = "") -> None:
+    """Print resources and every change to them until interrupted.
+
+    Example: lacewingcross watch drain
+
+    Parameters
+    ----------
+    kind : str
+        Only this kind; by default all kinds that operators write, and plans.
+    platform : str
+        IP:PORT of the platform.
+    """
+    kinds = (_kind(kind),) if kind else (*res.OPERATOR_KINDS, res.PLAN)
+    run(_watch(_operator(platform), kinds))
+
+
+async def _watch(operator: Operator, kinds: tuple[str, ...]) -> None:
+    async for item in operator.follow(*kinds):
+        what = "deleted" if item.value is None else _summary(item)
+        print(f"version={item.version} {item.key} {what}", flush=True)
+
+
+def status(*, platform: str = "", output: Output = "table") -> None:
+    """Show what is desired, what is in force on each host, and why not yet.
+
+    Example: lacewingcross status
+
+    Parameters
+    ----------
+    platform : str
+        IP:PORT of the platform.
+    output
+        Form of the output.
+    """
+    run(_status(_operator(platform), output))
+
+
+async def _status(operator: Operator, output: Output) -> None:
+    items = await operator.resources(*res.OPERATOR_KINDS, res.PLAN)
+    reports = await operator.resources(REPORT_KIND)
+    state = await operator.in_force(0)
+    hosts: dict[str, dict] = {}
+    refusals: dict[str, str] = {}
+    rejected: dict[str, str] = {}
+    leaving: dict[str, int] = {}
+    for report in reports:
+        spec = report.spec() or {}
+        hosts.update(spec.get("hosts", {}))
+        refusals.update(spec.get("last_refusals", {}))
+        rejected.update(spec.get("rejected", {}))
+        leaving.update(spec.get("leaving", {}))
+    resources = []
+    for item in items:
+        state.wanted = item.version
+        behind = state.behind()
+        in_force = len(state.live) - len(behind)
+        resources.append(
+            {
+                "resource": item.key,
+                "version": item.version,
+                "in_force": f"{in_force}/{len(state.live)}",
+                "why_not": rejected.get(item.key) or ",".join(behind),
+                "progress": _progress(item, leaving),
+                "last_refusal": refusals.get(res.split_key(item.key)[1], ""),
+            }
+        )
+    if output == "json":
+        print_json({"resources": resources, "hosts": hosts, "leaving": leaving})
+        return
+    columns = ("resource", "version", "in_force", "why_not", "progress", "last_refusal")
+    rows = [[row[column] or "-" for column in columns] for row in resources]
+    print_table([column.upper() for column in columns], rows)
+    print()
+    rows = [
+        (host_id, said.get("state"), said.get("revision"), said.get("behind"))
+        for host_id, said in sorted(hosts.items())
+    ]
+    print_table(("HOST", "STATE", "IN-FORCE", "BUCKETS-BEHIND"), rows)
+
+
+def _progress(item: StoredObject, leaving: dict[str, int]) -> str:
+    kind, name = res.split_key(item.key)
+    if kind == res.PLAN:
+        plan = decode_plan(name, item.spec())
+        counts = plan.region_buckets()
+        total = sum(counts.values()) or 1
+        return " ".join(
+            f"{region}={100 * count / total:.1f}%"
+            for region, count in sorted(counts.items())
+        )
+    if kind != res.DRAIN:
+        return ""
+    spec = item.spec() or {}
+    if "server" not in spec:
+        return ""
+    left = [num for key, num in leaving.items() if key.endswith("/" + spec["server"])]
+    if not left:
+        return "waiting for the slot keeper"
+    return "idle" if not any(left) else f"{sum(left)} in flight"
+
+
+def drain(
+    target: Literal["server", "region", "failure_domain", "host"],
+    value: str,
+    *,
+    service: str = "",
+    platform: str = "",
+    wait: bool = False,
+    timeout: float = 600.0,
+) -> None:
+    """Plan a stop: no new work goes there, what is in flight is finished.
+
+    Example: lacewingcross drain server booking-3 --wait
+
+    Parameters
+    ----------
+    target
+        What is drained.
+    value : str
+        Its id.
+    service : str
+        Only for this service; by default for all.
+    platform : str
+        IP:PORT of the platform.
+    wait : bool
+        Return only when it is idle.
+    timeout : float
+        Longest wait in seconds.
+    """
+    spec = {target: value}
+    if service:
+        spec["service"] = service
+    document = Document(res.DRAIN, _drain_name(target, value), spec)
+    res.parse(document.kind, document.name, spec)
+    run(_drain(_operator(platform), document, wait, timeout))
+
+
+def _drain_name(target: str, value: str) -> str:
+    return f"{target}-{value}"
+
+
+async def _drain(
+    operator: Operator, document: Document, wait: bool, timeout: float
+) -> None:
+    started = time.monotonic()
+    await _apply(operator, [document], wait, timeout)
+    if wait:
+        await operator.wait_drained(document.name, timeout)
+        print(f"idle after {time.monotonic() - started:.2f} s")
+
+
+def undrain(
+    target: Literal["server", "region", "failure_domain", "host"],
+    value: str,
+    *,
+    platform: str = "",
+) -> None:
+    """Take back a planned stop; the backend server ramps up again.
+
+    Example: lacewingcross undrain server booking-3
+
+    Parameters
+    ----------
+    target
+        What was drained.
+    value : str
+        Its id.
+    platform : str
+        IP:PORT of the platform.
+    """
+    run(_delete(_operator(platform), res.DRAIN, _drain_name(target, value)))
+
+
+def delete(kind: str, name: str, *, platform: str = "") -> None:
+    """Delete a resource.
+
+    Example: lacewingcross delete drain server-booking-3
+
+    Parameters
+    ----------
+    kind : str
+        Its kind.
+    name : str
+        Its name.
+    platform : str
+        IP:PORT of the platform.
+    """
+    run(_delete(_operator(platform), _kind(kind), name))
+
+
+async def _delete(operator: Operator, kind: str, name: str) -> None:
+    applied = await operator.delete(kind, name)
+    print(f"{applied.key} deleted version={applied.version}")
+
+
+def explain(
+    service: str,
+    *,
+    address: str = "",
+    caller: str = "",
+    platform: str = "",
+    output: Output = "table",
+) -> None:
+    """Show why a caller goes where it goes.
+
+    Example: lacewingcross explain calendar --address 10.1.2.3
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    address : str
+        Client address.
+    caller : str
+        Caller id, if the caller sends one.
+    platform : str
+        IP:PORT of the platform.
+    output
+        Form of the output.
+    """
+    if not address and not caller:
+        raise UserError("bad-arguments", "give --address or --caller")
+    run(_explain(_operator(platform), service, address, caller, output))
+
+
+async def _explain(
+    operator: Operator, service: str, address: str, caller: str, output: Output
+) -> None:
+    found = await operator.explain(service, address, caller)
+    if output == "json":
+        print_json(found)
+        return
+    rows = [
+        (key, ", ".join(val) if isinstance(val, list) else val)
+        for key, val in found.items()
+    ]
+    print_table(("STEP", "RESULT"), rows)
+
+
+def export(*, platform: str = "") -> None:
+    """Print all operators' resources as a file that "apply -f" takes.
+
+    Example: lacewingcross export > backup.json
+
+    Parameters
+    ----------
+    platform : str
+        IP:PORT of the platform.
+    """
+    run(_export(_operator(platform)))
+
+
+async def _export(operator: Operator) -> None:
+    items = await operator.resources(*res.OPERATOR_KINDS)
+    documents = [_item(item) for item in items]
+    for document in documents:
+        del document["version"]
+    print_json({"items": documents})
+
+
+def check_config(
+    file: str, *, what: Literal["host", "platform", "backend", "resources"] = "host"
+) -> None:
+    """Check a settings or resource file without using it.
+
+    Example: lacewingcross check-config host-1.json
+
+    Parameters
+    ----------
+    file : str
+        JSON file.
+    what
+        What the file holds.
+    """
+    loaders = {
+        "host": settings.load_host,
+        "platform": settings.load_platform,
+        "backend": settings.load_backend,
+        "resources": lambda path: read_documents(settings.read_json(path), path),
+    }
+    loaders[what](file)
+    print(f"{file}: ok", file=sys.stdout)
--- a/lacewingcross/core/actions.py
+++ b/lacewingcross/core/actions.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from .attempts import Ending
 from .messages import Message
 
 NOT_RUN = "not-run"
@@ -28,6 +29,7 @@
     remaining_s: float
     start_within_s: float
     cross_region: bool
+    repeatable: bool
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,10 +64,11 @@
 
 @dataclass(slots=True, frozen=True)
 class CancelAttempt:
-    """Stop an attempt and close its connection."""
+    """Stop an attempt, close its connection and report `ending`."""
 
     request_id: str
     attempt: int
+    ending: Ending
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/keeper.py
+++ b/lacewingcross/core/keeper.py
@@ -37,6 +37,7 @@
     host_id: str
     server_id: str
     expires: float
+    request_id: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -158,6 +159,8 @@
 
     def acquire(self, host_id: str, ask: msg.Acquire, now: float) -> Iterator[Reply]:
         """Queue a request, or refuse it at once when it cannot make its deadline."""
+        if self._forget_earlier(host_id, ask.request_id):
+            yield from self.dispatch(now)
         self._arrivals += 1
         item = Waiting(
             host_id,
@@ -173,6 +176,20 @@
         self.queue.append(item)
         yield from self.dispatch(now)
 
+    def _forget_earlier(self, host_id: str, request_id: str) -> bool:
+        """Drop what an earlier ask for the same request left behind.
+
+        Failure: the grant was lost with its connection and the host asks again. The
+        lost permit would keep its slot empty until the lease ends. A host asks only
+        while it has no attempt under way, so nothing runs on that permit.
+        """
+        self.withdraw(host_id, request_id)
+        for number, permit in self.permits.items():
+            if permit.request_id == request_id and permit.host_id == host_id:
+                self._vacate(number)
+                return True
+        return False
+
     def _refusal(self, item: Waiting, remaining_s: float, now: float) -> str:
         capacity = self._capacity(now)
         if capacity < 1:
@@ -247,7 +264,8 @@
     def _grant(self, item: Waiting, server_id: str, now: float) -> Reply:
         self._next_permit += 1
         number = self._next_permit
-        self._occupy(number, Permit(item.host_id, server_id, now + LEASE_S))
+        permit = Permit(item.host_id, server_id, now + LEASE_S, item.request_id)
+        self._occupy(number, permit)
         grant = msg.Grant(
             self.service, self.region, item.request_id, number, server_id, LEASE_S
         )
--- a/lacewingcross/core/keeping.py
+++ b/lacewingcross/core/keeping.py
@@ -120,6 +120,15 @@
                 keeper.servers.learn(server_id, "unreachable", now)
             yield from self._send(keeper.dispatch(now))
 
+    def leaving(self) -> list[tuple[str, int]]:
+        """Return the requests in flight at each leaving backend server."""
+        return [
+            (f"{service}/{server_id}", state.granted)
+            for (service, _), keeper in self.keepers.items()
+            for server_id, state in keeper.servers.states.items()
+            if state.leaving
+        ]
+
     def tick(self, now: float) -> Iterator[Action]:
         """Run every keeper's clock and report loads to the planners."""
         for keeper in self.keepers.values():
--- a/lacewingcross/core/membership.py
+++ b/lacewingcross/core/membership.py
@@ -1,7 +1,7 @@
 """Which entry hosts are live, leaving or down, from the list and own evidence."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from .messages import Heartbeat
 
@@ -37,6 +37,7 @@
     incarnation: int = 0
     revision: int = 0
     behind: int = 0
+    leaving: list[tuple[str, int]] = field(default_factory=list)
     connected: bool = False
     broken: bool = False
     drained: bool = False
@@ -94,6 +95,7 @@
         state.said = beat.state
         state.revision = beat.revision
         state.behind = beat.behind
+        state.leaving = beat.leaving
         state.broken = False
 
     def on_hello(self, info: HostInfo, incarnation: int, now: float) -> None:
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -18,11 +18,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Heartbeat:
-    """Liveness, state and the highest configuration version of the sender."""
+    """Liveness, state and the highest configuration version of the sender.
+
+    `behind` counts the buckets that its own cap still holds back; `leaving` gives
+    the requests in flight at each leaving backend server that the sender keeps.
+    """
 
     state: str
     revision: int
     behind: int
+    leaving: list[tuple[str, int]]
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/node.py
+++ b/lacewingcross/core/node.py
@@ -61,12 +61,20 @@
         Source for spreads and jitter.
     policy : KeeperPolicy, optional
         Admission settings.
+
+    Attributes
+    ----------
+    epoch : int
+        Rises with every change that a look-up's answer could show; answers
+        prepared in an earlier epoch are no longer used.
     """
 
     __slots__ = (
         "_beat_at",
         "_changed",
         "_pulled_at",
+        "_seen_live",
+        "epoch",
         "keepers",
         "planners",
         "reporter",
@@ -85,10 +93,12 @@
         self.requests = RequestTable(self.view)
         self.keepers = KeeperSet(self.view, policy or KeeperPolicy())
         self.planners = PlannerSet(self.view)
-        self.reporter = Reporter(self.view, self.requests)
+        self.reporter = Reporter(self.view, self.requests, self.keepers)
         self._beat_at = float("-inf")
         self._pulled_at = float("-inf")
         self._changed = True
+        self._seen_live: tuple[str, ...] = ()
+        self.epoch = 0
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take in one event and return what to do, in order.
@@ -140,8 +150,16 @@
 
     # Time
 
+    def _note_membership(self, now: float) -> None:
+        """Start a new epoch when the live hosts have changed."""
+        live = tuple(info.host_id for info in self.view.members.live(now))
+        if live != self._seen_live:
+            self._seen_live = live
+            self.epoch += 1
+
     def _tick(self, _event: Tick, now: float) -> Iterator[Action]:
         self._follow_plans(now)
+        self._note_membership(now)
         if now - self._beat_at >= HEARTBEAT_S:
             self._beat_at = now
             yield from self._heartbeats(now)
@@ -157,13 +175,19 @@
     def _heartbeats(self, now: float) -> Iterator[Action]:
         view = self.view
         behind = sum(plan.behind() for plan in view.plans.values())
-        beat = msg.Heartbeat(view.members.own_state, view.config.revision, behind)
+        beat = msg.Heartbeat(
+            view.members.own_state,
+            view.config.revision,
+            behind,
+            self.keepers.leaving(),
+        )
         for state in view.members.others():
             yield SendPeer(state.info.host_id, beat)
 
     def _follow_plans(self, now: float) -> None:
         for service, plan in self.view.plans.items():
-            plan.advance(self.view.config.cap(service), now)
+            if plan.advance(self.view.config.cap(service), now):
+                self.epoch += 1
 
     # Peers
 
@@ -257,6 +281,7 @@
                 yield Log("config-rejected", {"key": key, "reason": why})
         if not changed and config.revision == before:
             return
+        self.epoch += 1
         self._apply_host_drains()
         yield from self.keepers.review(now)
         yield from self._heartbeats(now)
--- a/lacewingcross/core/reports.py
+++ b/lacewingcross/core/reports.py
@@ -4,6 +4,7 @@
 
 from .actions import Action, CreateObject, UpdateObject
 from .events import WriteEnded
+from .keeping import KeeperSet
 from .membership import DOWN, LIVE
 from .requests import RequestTable
 from .view import View
@@ -21,11 +22,20 @@
     rate; one host of each failure domain, chosen by rendezvous, writes for all.
     """
 
-    __slots__ = ("_call", "_last", "_requests", "_version", "_view", "_written_at")
+    __slots__ = (
+        "_call",
+        "_keepers",
+        "_last",
+        "_requests",
+        "_version",
+        "_view",
+        "_written_at",
+    )
 
-    def __init__(self, view: View, requests: RequestTable) -> None:
+    def __init__(self, view: View, requests: RequestTable, keepers: KeeperSet) -> None:
         self._view = view
         self._requests = requests
+        self._keepers = keepers
         self._call = 0
         self._version: int | None = None
         self._last: object = None
@@ -65,6 +75,7 @@
 
     def _spec(self, now: float) -> dict[str, object]:
         view = self._view
+        leaving = list(self._keepers.leaving())
         hosts = {
             view.own.host_id: {
                 "state": view.members.own_state,
@@ -77,6 +88,7 @@
                 continue
             said = view.members.state_of(state.info.host_id, now)
             if said != DOWN:
+                leaving += state.leaving
                 hosts[state.info.host_id] = {
                     "state": said or LIVE,
                     "revision": state.revision,
@@ -84,6 +96,7 @@
                 }
         return {
             "hosts": hosts,
+            "leaving": dict(leaving),
             "last_refusals": dict(self._requests.last_refusals),
             "rejected": dict(view.config.rejected),
         }
--- a/lacewingcross/core/requests.py
+++ b/lacewingcross/core/requests.py
@@ -31,6 +31,7 @@
 RENEW_S = 1.0
 KEEPER_SILENCE_S = 0.9
 NOT_KEEPER_PAUSE_S = 0.05
+ASK_AGAIN_S = 2.0
 MIN_ATTEMPT_S = 0.005
 START_PART = 0.5
 CLAIM_KIND = "KeyClaim"
@@ -282,6 +283,7 @@
             state.deadline - now,
             start_within_s,
             state.region != self._view.own.region,
+            state.repeatable,
         )
 
     def denied(self, host_id: str, no: msg.Denied, now: float) -> Iterator[Action]:
@@ -423,7 +425,8 @@
         if state.phase is Phase.PERMIT:
             yield from self._withdraw(state)
         if state.phase is Phase.ATTEMPT:
-            yield CancelAttempt(request_id, state.attempt.number)
+            number = state.attempt.number
+            yield CancelAttempt(request_id, number, Ending.CANCELLED)
             return
         self._close(state)
         if state.claim_key:
@@ -460,7 +463,8 @@
             # The driver answers with an AttemptEnded, which settles the stage. An
             # answer already on its way to the caller is left to arrive whole.
             if not state.attempt.head_forwarded:
-                yield CancelAttempt(state.req.request_id, state.attempt.number)
+                number = state.attempt.number
+                yield CancelAttempt(state.req.request_id, number, Ending.TIMED_OUT)
             return
         if state.phase is Phase.PERMIT:
             yield from self._withdraw(state)
@@ -477,6 +481,12 @@
             return
         silent = view.members.silence(keeper, now)
         waited = now - state.asked_at
+        if waited > ASK_AGAIN_S:
+            # The ask or its answer was lost with a connection; the keeper knows a
+            # repeated ask by its request id.
+            yield Count("retries.ask-again")
+            yield from self._ask(state, now)
+            return
         if min(silent, waited) > KEEPER_SILENCE_S:
             yield from self._use_share(state, now)
 
--- a/lacewingcross/core/view.py
+++ b/lacewingcross/core/view.py
@@ -6,10 +6,12 @@
 
 from .config import Config
 from .membership import LEAVING, HostInfo, Membership
-from .rendezvous import owner
+from .rendezvous import owner, ranked
 from .resources import BackendPool, BackendServer
 from .slew import EffectivePlan
 
+RELAYS = 2
+
 
 @dataclass(slots=True)
 class View:
@@ -56,6 +58,20 @@
         ids = [info.host_id for info in live if info.failure_domain == failure_domain]
         return owner(f"reporter/{failure_domain}", ids)
 
+    def should_watch(self, now: float) -> bool:
+        """Tell whether this host watches the platform itself.
+
+        A waiting watch counts as a call, so in a large failure domain only a few
+        hosts watch and the others pull from peers; in a small one all do.
+        """
+        own = self.own
+        live = self.members.live(now)
+        ids = [
+            info.host_id for info in live if info.failure_domain == own.failure_domain
+        ]
+        relays = ranked(f"relay/{own.failure_domain}", ids)[:RELAYS]
+        return own.host_id in relays or len(relays) < RELAYS
+
     def leaving_servers(self, service: str) -> set[str]:
         """Return servers that leave by drain, by the list or by their own word."""
         drained = self.config.leaving_servers(service)
--- /dev/null
+++ b/lacewingcross/deployments.py
@@ -0,0 +1,223 @@
+"""The two users' deployments as data: hosts, pools, policies, caps and settings."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .core import resources as res
+from .settings import BackendSettings, HostSettings, KnownHost, PlatformSettings
+
+PORT_BASE = 20_000
+FIXED = "fixed"
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceShape:
+    """One service: workers over the whole deployment, and what each can do."""
+
+    name: str
+    workers: int
+    slots: int
+    connections: int
+    service_ms: float
+    deadline_ms: int
+    cap_fraction: float = 0.05
+    cap_window_s: float = 10.0
+
+
+@dataclass(slots=True, frozen=True)
+class Deployment:
+    """A user's regions, hosts and services."""
+
+    name: str
+    regions: tuple[str, ...]
+    hosts: int
+    services: tuple[ServiceShape, ...]
+    one_way_ms: float
+    first_block: int
+
+    def failure_domains(self) -> list[tuple[str, str]]:
+        """Return (region, failure domain), two in each region."""
+        return [
+            (region, f"{region}-{num}") for region in self.regions for num in (1, 2)
+        ]
+
+
+GRUPO_VISITAS = Deployment(
+    "grupo-visitas",
+    ("centro", "norte", "sureste"),
+    12,
+    (
+        ServiceShape("calendar", 25, 4, 400, 25.0, 2_000),
+        ServiceShape("booking", 10, 3, 400, 60.0, 5_000),
+        ServiceShape("permission", 10, 3, 400, 200.0, 600_000),
+    ),
+    20.0,
+    10,
+)
+MIDLANDS_PADDLECRAFT = Deployment(
+    "midlands-paddlecraft",
+    ("severn", "trent", "avon"),
+    9,
+    (
+        ServiceShape("listing", 15, 6, 330, 20.0, 2_000),
+        ServiceShape("ledger", 10, 3, 330, 60.0, 5_000),
+        ServiceShape("media", 10, 3, 330, 200.0, 600_000),
+    ),
+    35.0,
+    20,
+)
+DEPLOYMENTS = {dep.name: dep for dep in (GRUPO_VISITAS, MIDLANDS_PADDLECRAFT)}
+
+
+class Ports:
+    """Gives out loopback addresses.
+
+    Parameters
+    ----------
+    ports : iterator of int, optional
+        Ports to use; by default counted up from `PORT_BASE`.
+    """
+
+    __slots__ = ("_ports",)
+
+    def __init__(self, ports: Iterator[int] | None = None) -> None:
+        self._ports = ports or iter(range(PORT_BASE, 65_000))
+
+    def take(self) -> str:
+        """Return the next address."""
+        return f"127.0.0.1:{next(self._ports)}"
+
+
+@dataclass(slots=True)
+class Layout:
+    """All settings and resources of a deployment with addresses filled in."""
+
+    platform: PlatformSettings
+    hosts: list[HostSettings]
+    backends: list[BackendSettings]
+    resources: list[dict[str, object]]
+
+
+def lay_out(
+    deployment: Deployment,
+    ports: Ports,
+    *,
+    hosts: int = 0,
+    worker_divisor: int = 1,
+    queue: int = 0,
+    seed: int = 1,
+    log_level: str = "INFO",
+) -> Layout:
+    """Give every process of a deployment its settings.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to lay out.
+    ports : Ports
+        Source of addresses.
+    hosts : int, default=0
+        Number of entry hosts; 0 for the deployment's own.
+    worker_divisor : int, default=1
+        Divides the number of workers, for what one process can show.
+    queue : int, default=0
+        Requests that a backend server queues by itself.
+    seed : int, default=1
+        Seed of service times.
+    log_level : str, default="INFO"
+        Of every process.
+
+    Returns
+    -------
+    layout : Layout
+    """
+    platform_address = ports.take()
+    domains = deployment.failure_domains()
+    host_list = [
+        _host(num, *domains[num % len(domains)], platform_address, ports, log_level)
+        for num in range(hosts or deployment.hosts)
+    ]
+    backends: list[BackendSettings] = []
+    resources: list[dict[str, object]] = []
+    for shape in deployment.services:
+        workers = max(len(deployment.regions), shape.workers // worker_divisor)
+        servers = []
+        for num in range(workers):
+            region, domain = domains[num % len(domains)]
+            cfg = _backend(shape, num, ports, queue, seed, log_level)
+            backends.append(cfg)
+            servers.append(_server(cfg, region, domain))
+        resources += _resources(deployment, shape, servers)
+    known = tuple(
+        KnownHost(cfg.host_id, cfg.region, cfg.failure_domain, cfg.entry, cfg.peer)
+        for cfg in host_list
+    )
+    platform = PlatformSettings(platform_address, known, 1.0, log_level)
+    return Layout(platform, host_list, backends, resources)
+
+
+def _host(
+    num: int, region: str, domain: str, platform: str, ports: Ports, log_level: str
+) -> HostSettings:
+    return HostSettings(
+        host_id=f"host-{num + 1}",
+        region=region,
+        failure_domain=domain,
+        entry=ports.take(),
+        peer=ports.take(),
+        operators=ports.take(),
+        platform=platform,
+        log_level=log_level,
+        trust_client_address=True,
+    )
+
+
+def _backend(
+    shape: ServiceShape, num: int, ports: Ports, queue: int, seed: int, log_level: str
+) -> BackendSettings:
+    return BackendSettings(
+        server_id=f"{shape.name}-{num + 1}",
+        listen=ports.take(),
+        slots=shape.slots,
+        connections=shape.connections,
+        service_ms=shape.service_ms,
+        queue=queue,
+        seed=seed * 1000 + num,
+        log_level=log_level,
+    )
+
+
+def _server(cfg: BackendSettings, region: str, domain: str) -> dict[str, object]:
+    return {
+        "id": cfg.server_id,
+        "address": cfg.listen,
+        "region": region,
+        "failure_domain": domain,
+        "slots": cfg.slots,
+        "connections": cfg.connections,
+    }
+
+
+def _resources(
+    deployment: Deployment, shape: ServiceShape, servers: list[dict[str, object]]
+) -> list[dict[str, object]]:
+    groups = [
+        {
+            "name": region,
+            "blocks": [f"{deployment.first_block}.{num + 1}.0.0/16"],
+            "weights": {region: 1.0},
+        }
+        for num, region in enumerate(deployment.regions)
+    ]
+    policy = {
+        "groups": groups,
+        "failover": list(deployment.regions),
+        "deadline_ms": shape.deadline_ms,
+        "lookup_ttl_s": 20.0,
+    }
+    cap = {"fraction": shape.cap_fraction, "window_s": shape.cap_window_s}
+    return [
+        {"kind": res.POOL, "name": shape.name, "spec": {"servers": servers}},
+        {"kind": res.CAP, "name": shape.name, "spec": cap},
+        {"kind": res.POLICY, "name": shape.name, "spec": policy},
+    ]
--- /dev/null
+++ b/lacewingcross/embedded.py
@@ -0,0 +1,122 @@
+"""A whole deployment in one process, for the demo, benches and tests."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Iterator
+
+from .core.keeper import KeeperPolicy
+from .deployments import Layout
+from .host.app import HostApp
+from .operations import Operator, read_documents
+from .platform_client import PlatformClient
+from .settings import HostSettings
+from .standins.backend import BackendStandin
+from .standins.platform import PlatformStandin
+
+
+def free_ports() -> Iterator[int]:
+    """Yield ports that were free a moment ago, none of them twice."""
+    seen: set[int] = set()
+    while True:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        if port not in seen:
+            seen.add(port)
+            yield port
+
+
+class EmbeddedDeployment:
+    """Stand-ins and hosts of a layout on one event loop, over real loopback TCP.
+
+    Parameters
+    ----------
+    layout : Layout
+        Settings and resources.
+    policy : KeeperPolicy, optional
+        Admission settings of all hosts.
+    seed : int, default=1
+        Seed of the hosts' random sources.
+    """
+
+    def __init__(
+        self, layout: Layout, policy: KeeperPolicy | None = None, seed: int = 1
+    ) -> None:
+        self.layout = layout
+        self.platform = PlatformStandin(layout.platform)
+        self.backends = {cfg.server_id: BackendStandin(cfg) for cfg in layout.backends}
+        self.hosts: dict[str, HostApp] = {}
+        self.operator = Operator(PlatformClient(layout.platform.listen, writer="demo"))
+        self._policy = policy
+        self._rng = random.Random(seed)
+        self._stops: dict[str, asyncio.Event] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def start(self) -> None:
+        """Start everything and wait until the configuration is in force."""
+        await self.platform.start()
+        for backend in self.backends.values():
+            await backend.start()
+        for cfg in self.layout.hosts:
+            self.start_host(cfg)
+        newest = 0
+        for document in read_documents(self.layout.resources, "layout"):
+            applied = await self.operator.apply(document)
+            newest = max(newest, applied.version)
+        await self.operator.wait_in_force(newest, 15.0)
+        await self.wait_plans(15.0)
+
+    async def wait_plans(self, timeout_s: float) -> None:
+        """Wait until every host has a plan for every service."""
+        async with asyncio.timeout(timeout_s):
+            while not all(self._has_plans(app) for app in self.hosts.values()):
+                await asyncio.sleep(0.05)
+
+    def _has_plans(self, app: HostApp) -> bool:
+        view = app.runtime.core.view
+        return set(view.plans) == set(view.config.policies)
+
+    def start_host(self, cfg: HostSettings) -> HostApp:
+        """Start one host."""
+        app = HostApp(cfg, rng=random.Random(self._rng.random()), policy=self._policy)
+        stop = asyncio.Event()
+        self.hosts[cfg.host_id] = app
+        self._stops[cfg.host_id] = stop
+        task = asyncio.get_running_loop().create_task(app.run(stop))
+        self._tasks[cfg.host_id] = task
+        return app
+
+    async def stop_host(self, host_id: str) -> None:
+        """Stop one host gracefully."""
+        self._stops[host_id].set()
+        await self._tasks.pop(host_id)
+        del self.hosts[host_id]
+
+    async def kill_host(self, host_id: str) -> None:
+        """End one host without a word, as a crash would."""
+        task = self._tasks.pop(host_id)
+        del self.hosts[host_id]
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def entries(self) -> list[str]:
+        """Return the entry addresses of the running hosts."""
+        return [app.cfg.entry for app in self.hosts.values()]
+
+    def counters(self) -> dict[str, int]:
+        """Return the sum of all hosts' counters."""
+        total: dict[str, int] = {}
+        for app in self.hosts.values():
+            for name, value in app.runtime.metrics.counters.items():
+                total[name] = total.get(name, 0) + value
+        return total
+
+    async def close(self) -> None:
+        """Stop everything at once."""
+        for host_id in list(self._tasks):
+            await self.kill_host(host_id)
+        for backend in self.backends.values():
+            await backend.close()
+        await self.platform.close()
+        self.operator.platform.close()
--- /dev/null
+++ b/lacewingcross/host/app.py
@@ -0,0 +1,147 @@
+"""The host's root: builds the supervisor tree and runs it to a graceful stop."""
+
+import asyncio
+import random
+import secrets
+import signal
+
+from .. import logs
+from ..clock import Clock, SystemClock
+from ..core.events import ShutdownAsked, Tick
+from ..core.keeper import KeeperPolicy
+from ..core.membership import HostInfo
+from ..core.node import HostCore
+from ..metrics import Metrics
+from ..platform_client import PlatformClient
+from ..settings import HostSettings
+from .backends.pool import BackendPool
+from .backends.prober import Prober
+from .entry.listener import EntryListener
+from .mesh.links import Mesh
+from .operators.listener import OperatorsListener
+from .platform.watch import ConfigWatcher, HostListPoller
+from .platform.writes import PlatformWriter
+from .runtime import Runtime
+from .supervisor import Child, Supervisor
+
+INCARNATION_BITS = 24
+BUSY_TICK_S = 0.02
+IDLE_TICK_S = 0.1
+LEAVE_NOTICE_S = 2.0
+FINISH_POLL_S = 0.05
+
+
+class HostApp:
+    """One entry host.
+
+    The tree::
+
+        host
+        |-- platform     configuration watch, host list
+        |-- mesh         links to the other hosts
+        |-- backends     health probes
+        |-- entry        callers' listener
+        |-- operators    operators' listener
+        `-- ticker       the core's clock
+
+    Parameters
+    ----------
+    cfg : HostSettings
+        Settings.
+    clock : Clock, optional
+        Source of time.
+    rng : random.Random, optional
+        Source of spreads and of the incarnation.
+    policy : KeeperPolicy, optional
+        Admission settings.
+    """
+
+    def __init__(
+        self,
+        cfg: HostSettings,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+        policy: KeeperPolicy | None = None,
+    ) -> None:
+        self.cfg = cfg
+        own = HostInfo(cfg.host_id, cfg.region, cfg.failure_domain, cfg.entry, cfg.peer)
+        rng = rng or random.Random(secrets.randbits(64))
+        core = HostCore(own, rng.getrandbits(INCARNATION_BITS), rng, policy)
+        self.runtime = Runtime(core, clock or SystemClock(), Metrics())
+        self._platform = PlatformClient(cfg.platform)
+        self._writer = PlatformWriter(self.runtime, self._platform)
+        self._pool = BackendPool(self.runtime.now)
+        self.entry = EntryListener(self.runtime, cfg, self._pool)
+        self._mesh = Mesh(self.runtime, cfg.peer)
+        self.root = Supervisor("host", self._children())
+
+    def _children(self) -> list[Child]:
+        runtime = self.runtime
+        platform = Supervisor(
+            "platform",
+            [
+                Child("config", ConfigWatcher(runtime, self._platform).run),
+                Child("hosts", HostListPoller(runtime, self._platform).run),
+            ],
+        )
+        operators = OperatorsListener(runtime, self.cfg.operators)
+        return [
+            Child("platform", platform.run),
+            Child("mesh", self._mesh.run),
+            Child("backends", Prober(runtime).run),
+            Child("entry", self.entry.run),
+            Child("operators", operators.run),
+            Child("ticker", self._tick),
+        ]
+
+    async def _tick(self) -> None:
+        core = self.runtime.core
+        while True:
+            self.runtime.dispatch(Tick())
+            queued = any(keeper.queue for keeper in core.keepers.keepers.values())
+            busy = queued or not core.idle()
+            await asyncio.sleep(BUSY_TICK_S if busy else IDLE_TICK_S)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Run until `stop` is set and every request has had its answer."""
+        loop = asyncio.get_running_loop()
+        tree = loop.create_task(self.root.run())
+        stopping = loop.create_task(stop.wait())
+        try:
+            await asyncio.wait((tree, stopping), return_when=asyncio.FIRST_COMPLETED)
+            if not tree.done():
+                await self._leave()
+        finally:
+            stopping.cancel()
+            tree.cancel()
+            self._writer.close()
+            self._platform.close()
+            await asyncio.gather(tree, return_exceptions=True)
+        if not tree.cancelled() and tree.exception() is not None:
+            raise tree.exception()
+
+    async def _leave(self) -> None:
+        """Leave look-ups first, then finish every request, however long it takes.
+
+        Failure: a host that closes its listener first refuses callers that were
+        sent to it a moment ago, and one that exits cuts uploads. Callers keep
+        being served while the others learn that this host leaves.
+        """
+        self.runtime.dispatch(ShutdownAsked())
+        await asyncio.sleep(LEAVE_NOTICE_S)
+        await self.entry.server.stop_listening()
+        while not self.runtime.core.idle() or self.entry.busy:
+            await asyncio.sleep(FINISH_POLL_S)
+        logs.event("host-stopped")
+
+
+async def run_host(cfg: HostSettings) -> None:
+    """Run an entry host until SIGTERM or SIGINT."""
+    logs.setup(cfg.log_level, host=cfg.host_id)
+    logs.switch_level_on_signal(cfg.log_level, host=cfg.host_id)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    logs.event("host-starting", entry=cfg.entry, peer=cfg.peer)
+    await HostApp(cfg).run(stop)
--- /dev/null
+++ b/lacewingcross/host/backends/__init__.py
@@ -0,0 +1,1 @@
+"""The backend servers' side: connections and health probes."""
--- /dev/null
+++ b/lacewingcross/host/backends/prober.py
@@ -0,0 +1,73 @@
+"""Asks backend servers for their health, for the keepers this host runs."""
+
+import asyncio
+import json
+
+from ...core.events import ServerProbed
+from ...core.resources import BackendServer
+from ...http1_client import HttpClient, HttpError
+from ..runtime import Runtime
+
+PROBE_S = 0.5
+PROBE_TIMEOUT_S = 1.0
+HEALTH_PATH = "/-/health"
+
+
+class Prober:
+    """Probes each backend server of the kept regions, one probe in a period.
+
+    A probe costs the server a few milliseconds, so only the keeper's host probes.
+    Its word takes a server out when it drains, or when it accepts no connection;
+    that a server calls itself healthy proves nothing and gives it no traffic.
+    """
+
+    __slots__ = ("_clients", "_runtime")
+
+    def __init__(self, runtime: Runtime) -> None:
+        self._runtime = runtime
+        self._clients: dict[str, HttpClient] = {}
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            targets = list(self._targets())
+            await asyncio.gather(*(self._probe(*target) for target in targets))
+            addresses = {server.address for _, server in targets}
+            for address in [addr for addr in self._clients if addr not in addresses]:
+                self._clients.pop(address).close()
+            await asyncio.sleep(PROBE_S)
+
+    def _targets(self) -> list[tuple[str, BackendServer]]:
+        core = self._runtime.core
+        return [
+            (service, server)
+            for service, region in list(core.keepers.keepers)
+            for server in core.view.region_servers(service, region)
+        ]
+
+    async def _probe(self, service: str, server: BackendServer) -> None:
+        client = self._clients.get(server.address)
+        if client is None:
+            client = HttpClient(server.address)
+            self._clients[server.address] = client
+        reachable = True
+        draining = False
+        try:
+            response = await client.request(
+                "GET", HEALTH_PATH, timeout_s=PROBE_TIMEOUT_S
+            )
+            draining = _says_draining(response.body)
+        except HttpError as exc:
+            # A slow probe proves nothing; only a refused connection does.
+            reachable = exc.sent
+        self._runtime.dispatch(
+            ServerProbed(service, server.server_id, reachable, draining)
+        )
+
+
+def _says_draining(body: bytes) -> bool:
+    try:
+        data = json.loads(body)
+    except ValueError:
+        return False
+    return isinstance(data, dict) and data.get("state") == "draining"
--- /dev/null
+++ b/lacewingcross/host/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: listener, look-ups, requests and backend connections."""
--- /dev/null
+++ b/lacewingcross/host/entry/attempt.py
@@ -0,0 +1,217 @@
+"""Carries out one attempt: sends the request on and the answer back."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ... import headers as hd
+from ...core.actions import StartAttempt
+from ...core.attempts import Ending
+from ...core.events import AttemptEnded, FirstByteWritten, HeadForwarded
+from ...http1_client import ClientConnection, HttpError, ResponseHead
+from ...http1_server import CallerGoneError, Exchange
+from ..backends.pool import BackendPool
+from ..runtime import Runtime
+
+REPLAY_MAX = 64 * 1024
+NOT_RUN = "not-run"
+CONNECTION_LIMIT = "connection-limit"
+
+
+@dataclass(slots=True)
+class RequestBody:
+    """The caller's body: what was read is kept while it is small enough to replay."""
+
+    exchange: Exchange
+    kept: list[bytes]
+    size: int = 0
+    replayable: bool = True
+
+    async def send_to(self, conn: ClientConnection) -> None:
+        """Send the kept part, then the rest as it arrives, and end the request."""
+        for data in self.kept:
+            await conn.send_body(data)
+        while data := await self.exchange.read():
+            self._keep(data)
+            await conn.send_body(data)
+        await conn.finish()
+
+    def _keep(self, data: bytes) -> None:
+        self.size += len(data)
+        if self.size <= REPLAY_MAX:
+            self.kept.append(data)
+        else:
+            self.kept.clear()
+            self.replayable = False
+
+
+class AttemptRun:
+    """One attempt of one request.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Where events go.
+    pool : BackendPool
+        Connections to backend servers.
+    order : StartAttempt
+        What the core asked for.
+    body : RequestBody
+        The caller's body.
+    headers : list of (bytes, bytes)
+        Headers to send on, without the deadline.
+    """
+
+    __slots__ = (
+        "_body",
+        "_conn",
+        "_headers",
+        "_order",
+        "_pool",
+        "_runtime",
+        "_started",
+        "cancel_ending",
+    )
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        pool: BackendPool,
+        order: StartAttempt,
+        body: RequestBody,
+        headers: hd.HeaderList,
+    ) -> None:
+        self._runtime = runtime
+        self._pool = pool
+        self._order = order
+        self._body = body
+        self._headers = headers
+        self._conn: ClientConnection | None = None
+        self._started = runtime.now()
+        self.cancel_ending = Ending.CANCELLED
+
+    async def run(self) -> None:
+        """Carry out the attempt and report its end to the core exactly once."""
+        status = 0
+        try:
+            ending, status = await self._attempt()
+        except asyncio.CancelledError:
+            ending = self.cancel_ending
+        except CallerGoneError:
+            ending = Ending.CANCELLED
+        except HttpError as exc:
+            ending = self._failed(exc)
+        self._let_go(ending)
+        self._runtime.dispatch(
+            AttemptEnded(
+                self._order.request_id,
+                self._order.attempt,
+                ending,
+                self._runtime.now() - self._started,
+                status,
+                self._body.replayable,
+            )
+        )
+
+    def _failed(self, exc: HttpError) -> Ending:
+        if exc.reason == CONNECTION_LIMIT:
+            return Ending.SERVER_NOT_RUN
+        if self._body.exchange.started:
+            return Ending.TRUNCATED
+        return Ending.BROKEN if exc.sent else Ending.CONNECT_FAILED
+
+    def _let_go(self, ending: Ending) -> None:
+        """Reuse the connection only after an exchange that is whole on both sides."""
+        conn = self._conn
+        self._conn = None
+        if conn is None:
+            return
+        whole = (Ending.ANSWERED, Ending.SERVER_ERROR, Ending.SERVER_NOT_RUN)
+        if ending in whole:
+            self._pool.give_back(self._order.address, conn)
+        else:
+            self._pool.drop(self._order.address, conn)
+
+    async def _attempt(self) -> tuple[Ending, int]:
+        order = self._order
+        self._conn = await self._pool.take(order.address, repeatable=order.repeatable)
+        waited = self._runtime.now() - self._started
+        if waited > order.start_within_s:
+            # Failure: this process was paused between the grant and here, and the
+            # permit's lease may be over. Starting now would take a slot that the
+            # keeper has given to somebody else.
+            raise HttpError("lease-over", sent=False)
+        conn = self._conn
+        self._runtime.dispatch(FirstByteWritten(order.request_id, order.attempt))
+        head = self._body.exchange.head
+        remaining = max(0.001, order.remaining_s - waited)
+        deadline = (hd.DEADLINE_MS, str(max(1, int(remaining * 1000))).encode())
+        await conn.send_head(head.method, head.target, [*self._headers, deadline])
+        if self._body.exchange.body_ended:
+            await self._body.send_to(conn)
+            answer = await conn.read_head()
+            return await self._answer(conn, answer)
+        return await self._stream_both(conn)
+
+    async def _stream_both(self, conn: ClientConnection) -> tuple[Ending, int]:
+        """Send the body while already waiting for the answer's head.
+
+        A backend server may refuse an upload long before its end; reading only
+        after the last byte would push the whole body through for nothing.
+        """
+        loop = asyncio.get_running_loop()
+        sender = loop.create_task(self._body.send_to(conn))
+        reader = loop.create_task(conn.read_head())
+        try:
+            await asyncio.wait((sender, reader), return_when=asyncio.FIRST_COMPLETED)
+            if sender.done() and not reader.done():
+                self._raise_if_caller_left(sender)
+            answer = await self._head_or_send_error(reader, sender)
+            return await self._answer(conn, answer)
+        finally:
+            for task in (sender, reader):
+                task.cancel()
+            await asyncio.gather(sender, reader, return_exceptions=True)
+
+    def _raise_if_caller_left(self, sender: asyncio.Task[None]) -> None:
+        exc = sender.exception()
+        if exc is not None and not isinstance(exc, HttpError):
+            raise exc
+
+    async def _head_or_send_error(
+        self, reader: asyncio.Task[ResponseHead], sender: asyncio.Task[None]
+    ) -> ResponseHead:
+        """Return the answer's head, also when the server stopped reading first."""
+        tasks = {reader, sender} if not sender.done() else {reader}
+        while not reader.done():
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if sender in done:
+                self._raise_if_caller_left(sender)
+                tasks.discard(sender)
+        return reader.result()
+
+    async def _answer(
+        self, conn: ClientConnection, head: ResponseHead
+    ) -> tuple[Ending, int]:
+        outcome = hd.find(head.headers, hd.OUTCOME)
+        if head.status == 503 and outcome == NOT_RUN:
+            async for _ in conn.read_body():
+                pass
+            return Ending.SERVER_NOT_RUN, head.status
+        await self._forward(conn, head)
+        ending = Ending.SERVER_ERROR if head.status >= 500 else Ending.ANSWERED
+        return ending, head.status
+
+    async def _forward(self, conn: ClientConnection, head: ResponseHead) -> None:
+        order = self._order
+        exchange = self._body.exchange
+        self._runtime.dispatch(HeadForwarded(order.request_id, order.attempt))
+        own = (hd.OUTCOME, hd.REASON, hd.REQUEST_ID)
+        fields = [
+            item for item in hd.without_hop_by_hop(head.headers) if item[0] not in own
+        ]
+        fields.append((hd.OUTCOME, b"answered"))
+        fields.append((hd.REQUEST_ID, order.request_id.encode()))
+        await exchange.send_head(head.status, fields)
+        async for part in conn.read_body():
+            await exchange.send_body(part)
+        exchange.finish()
--- /dev/null
+++ b/lacewingcross/host/entry/flight.py
@@ -0,0 +1,188 @@
+"""One caller's request on this host, from its head to its final answer."""
+
+import asyncio
+import json
+
+from ... import headers as hd
+from ...checks import is_name
+from ...core import actions as act
+from ...core.blocks import parse_address
+from ...core.events import RequestArrived, RequestCancelled
+from ...http1_server import Exchange
+from ..backends.pool import BackendPool
+from ..runtime import Runtime
+from .attempt import AttemptRun, RequestBody
+
+MAX_ID = 128
+MAX_KEY = 256
+
+
+class FrameError(Exception):
+    """A header of the request's frame is not usable."""
+
+
+def read_frame(
+    exchange: Exchange, request_id: str, *, trust_client_address: bool
+) -> RequestArrived:
+    """Return what the core needs to know of a request.
+
+    Raises
+    ------
+    FrameError
+        Names the header and what was expected.
+    """
+    head = exchange.head
+    headers = head.headers
+    service = hd.find(headers, hd.SERVICE) or first_segment(head.target)
+    if not is_name(service):
+        raise FrameError("expected a service name as first path segment")
+    address = head.client
+    if trust_client_address:
+        address = hd.find(headers, hd.CLIENT_ADDRESS) or address
+    caller = hd.find(headers, hd.CALLER_ID) or address
+    key = hd.find(headers, hd.IDEMPOTENCY_KEY)
+    if len(caller) > MAX_ID or len(key) > MAX_KEY:
+        raise FrameError(f"x-caller-id up to {MAX_ID}, idempotency-key to {MAX_KEY}")
+    try:
+        remaining = hd.milliseconds(headers, hd.DEADLINE_MS)
+    except ValueError as exc:
+        raise FrameError(str(exc)) from exc
+    return RequestArrived(
+        request_id,
+        service,
+        head.method,
+        caller,
+        parse_address(address),
+        remaining or 0.0,
+        key,
+        _repeatable(headers),
+    )
+
+
+def first_segment(target: str) -> str:
+    """Return the first segment of a request target's path."""
+    path = target.partition("?")[0]
+    return path.lstrip("/").partition("/")[0]
+
+
+def _repeatable(headers: hd.HeaderList) -> bool | None:
+    said = hd.find(headers, hd.REPEATABLE).lower()
+    if said in ("yes", "no"):
+        return said == "yes"
+    if said:
+        raise FrameError("x-repeatable: expected yes or no")
+    return None
+
+
+class Flight:
+    """Waits for the core's decisions on one request and carries them out.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Where events go.
+    pool : BackendPool
+        Connections to backend servers.
+    exchange : Exchange
+        The caller's exchange.
+    req : RequestArrived
+        The request's frame.
+    """
+
+    __slots__ = (
+        "_body",
+        "_decisions",
+        "_exchange",
+        "_pool",
+        "_req",
+        "_run",
+        "_runtime",
+        "_task",
+        "aborted",
+    )
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        pool: BackendPool,
+        exchange: Exchange,
+        req: RequestArrived,
+    ) -> None:
+        self._runtime = runtime
+        self._pool = pool
+        self._exchange = exchange
+        self._req = req
+        self._body = RequestBody(exchange, [])
+        self._decisions: asyncio.Queue[act.Action] = asyncio.Queue()
+        self._run: AttemptRun | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def fly(self) -> None:
+        """Run the request to its end."""
+        self._exchange.on_gone = self._caller_gone
+        started = self._runtime.now()
+        self._runtime.dispatch(self._req)
+        while self._req.request_id in self._runtime.core.requests.requests:
+            await self._carry_out(await self._decisions.get())
+        while not self._decisions.empty():
+            await self._carry_out(self._decisions.get_nowait())
+        self._runtime.metrics.observe("request", self._runtime.now() - started)
+
+    def decide(self, action: act.Action) -> None:
+        """Take in a decision of the core."""
+        if isinstance(action, act.CancelAttempt):
+            self._cancel(action)
+        else:
+            self._decisions.put_nowait(action)
+
+    def _cancel(self, action: act.CancelAttempt) -> None:
+        if self._task is None or self._task.done():
+            return
+        self._run.cancel_ending = action.ending
+        self._task.cancel()
+
+    def _caller_gone(self) -> None:
+        self._runtime.dispatch(RequestCancelled(self._req.request_id))
+        self._decisions.put_nowait(act.AbortAnswer(self._req.request_id))
+
+    async def _carry_out(self, action: act.Action) -> None:
+        if isinstance(action, act.StartAttempt):
+            await self._attempt(action)
+        elif isinstance(action, act.Finish):
+            await self._finish(action)
+        elif isinstance(action, act.AbortAnswer):
+            self._exchange.abort()
+
+    async def _attempt(self, action: act.StartAttempt) -> None:
+        headers = hd.without_hop_by_hop(self._exchange.head.headers)
+        dropped = (hd.DEADLINE_MS, hd.REQUEST_ID)
+        headers = [item for item in headers if item[0] not in dropped]
+        headers.append((hd.REQUEST_ID, self._req.request_id.encode()))
+        self._run = AttemptRun(self._runtime, self._pool, action, self._body, headers)
+        self._task = asyncio.get_running_loop().create_task(self._run.run())
+        await asyncio.wait([self._task])
+        self._task.result()
+
+    async def _finish(self, action: act.Finish) -> None:
+        if self._exchange.started:
+            self._exchange.abort()
+            return
+        await answer_refusal(self._exchange, action)
+
+
+async def answer_refusal(exchange: Exchange, action: act.Finish) -> None:
+    """Send a final answer that says what is known and when to come back."""
+    body = {
+        "outcome": action.outcome,
+        "reason": action.reason,
+        "retry_after_s": round(action.retry_after_s, 3),
+    }
+    headers = [
+        (b"content-type", b"application/json"),
+        (hd.OUTCOME, action.outcome.encode()),
+        (hd.REASON, action.reason.encode()),
+        (hd.REQUEST_ID, action.request_id.encode()),
+        *hd.retry_after(action.retry_after_s),
+    ]
+    data = json.dumps(body).encode() + b"\n"
+    await exchange.respond(action.status, headers, data)
--- /dev/null
+++ b/lacewingcross/host/entry/listener.py
@@ -0,0 +1,184 @@
+"""The callers' listener: tells look-ups from requests and runs both."""
+
+import asyncio
+import json
+import ssl as ssl_module
+
+from ... import headers as hd
+from ...checks import split_address
+from ...core import actions as act
+from ...core.lookup import LookupRefusal
+from ...http1_server import Exchange, HttpServer
+from ...settings import HostSettings
+from ..backends.pool import BackendPool
+from ..runtime import Runtime
+from .flight import MAX_ID, Flight, FrameError, answer_refusal, read_frame
+from .lookups import PATH, Lookups, answer_data
+
+SWEEP_S = 1.0
+
+
+class EntryListener:
+    """Serves callers.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Where events go.
+    cfg : HostSettings
+        Addresses and limits.
+    pool : BackendPool
+        Connections to backend servers.
+    ssl : ssl.SSLContext, optional
+        For TLS to callers.
+    """
+
+    __slots__ = (
+        "_cfg",
+        "_counter",
+        "_flights",
+        "_lookups",
+        "_pool",
+        "_runtime",
+        "_ssl",
+        "server",
+    )
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        cfg: HostSettings,
+        pool: BackendPool,
+        ssl: ssl_module.SSLContext | None = None,
+    ) -> None:
+        self._runtime = runtime
+        self._cfg = cfg
+        self._pool = pool
+        self._ssl = ssl
+        self._counter = 0
+        self._flights: dict[str, Flight] = {}
+        self._lookups = Lookups(runtime)
+        self.server = HttpServer(
+            self._handle,
+            runtime.now,
+            max_connections=cfg.max_connections,
+            fast_path=self._lookups,
+            on_bad_input=self._bad_input,
+        )
+        runtime.perform_with(
+            self._decide,
+            act.StartAttempt,
+            act.Finish,
+            act.AbortAnswer,
+            act.CancelAttempt,
+        )
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether a request's answer is still on its way."""
+        return bool(self._flights)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        host, port = split_address(self._cfg.entry)
+        await self.server.start(host, port, self._ssl)
+        try:
+            while True:
+                await asyncio.sleep(SWEEP_S)
+                self._set_connection_limits()
+                self._pool.sweep()
+        finally:
+            await self.server.close()
+            self._pool.close()
+
+    def _set_connection_limits(self) -> None:
+        """Split each backend server's connection limit over the live hosts."""
+        view = self._runtime.core.view
+        hosts = max(1, len(view.members.live(self._runtime.now())))
+        for pool in view.config.pools.values():
+            for server in pool.servers:
+                share = max(1, server.connections // hosts)
+                self._pool.limits[server.address] = share
+
+    def _bad_input(self, reason: str) -> None:
+        self._runtime.metrics.count(f"bad-input.{reason}")
+
+    def _decide(self, action: act.Action) -> None:
+        flight = self._flights.get(action.request_id)
+        if flight is not None:
+            flight.decide(action)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        path = exchange.head.target.partition("?")[0]
+        if path == PATH:
+            await self._lookup(exchange)
+        elif path.startswith("/v1/") or path == "/v1":
+            await self._bad(exchange, 404, "unknown-path", "expected /v1/lookup")
+        else:
+            await self._request(exchange)
+
+    async def _lookup(self, exchange: Exchange) -> None:
+        if exchange.head.method != "GET":
+            await self._bad(exchange, 405, "bad-method", "expected GET")
+            return
+        question = self._lookups.question(exchange.head.target)
+        if isinstance(question, str):
+            await self._bad(exchange, 400, "bad-lookup", question)
+            return
+        found = self._lookups.find(question)
+        if isinstance(found, LookupRefusal):
+            self._runtime.metrics.count(f"lookups.refused.{found.reason}")
+            refusal = act.Finish(
+                "", found.status, act.NOT_RUN, found.reason, found.retry_after_s
+            )
+            await answer_refusal(exchange, refusal)
+            return
+        self._runtime.metrics.count("lookups.answered")
+        body = json.dumps(answer_data(found), separators=(",", ":")).encode()
+        await exchange.respond(200, [(b"content-type", b"application/json")], body)
+
+    async def _bad(
+        self, exchange: Exchange, status: int, reason: str, message: str
+    ) -> None:
+        self._bad_input(reason)
+        body = json.dumps({"error": reason, "message": message}).encode() + b"\n"
+        headers = [
+            (b"content-type", b"application/json"),
+            (hd.OUTCOME, act.NOT_RUN.encode()),
+            (hd.REASON, reason.encode()),
+        ]
+        await exchange.respond(status, headers, body)
+
+    def _new_id(self) -> str:
+        """Return a request id that no other host or incarnation makes."""
+        self._counter += 1
+        view = self._runtime.core.view
+        return f"{view.own.host_id}-{view.incarnation:x}-{self._counter}"
+
+    async def _request(self, exchange: Exchange) -> None:
+        given = hd.find(exchange.head.headers, hd.REQUEST_ID)
+        if len(given) > MAX_ID:
+            await self._bad(exchange, 400, "bad-frame", "x-request-id is too long")
+            return
+        length = hd.find(exchange.head.headers, hd.CONTENT_LENGTH)
+        if length and int(length) > self._cfg.max_body_bytes:
+            await self._bad(exchange, 413, "body-too-large", "see max_body_bytes")
+            return
+        try:
+            req = read_frame(
+                exchange,
+                given or self._new_id(),
+                trust_client_address=self._cfg.trust_client_address,
+            )
+        except FrameError as exc:
+            await self._bad(exchange, 400, "bad-frame", str(exc))
+            return
+        if req.request_id in self._flights:
+            await self._bad(exchange, 409, "duplicate-request-id", "still running")
+            return
+        flight = Flight(self._runtime, self._pool, exchange, req)
+        self._flights[req.request_id] = flight
+        try:
+            await flight.fly()
+        finally:
+            del self._flights[req.request_id]
--- /dev/null
+++ b/lacewingcross/host/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Links to the other entry hosts."""
--- /dev/null
+++ b/lacewingcross/host/mesh/links.py
@@ -0,0 +1,223 @@
+"""One outgoing stream to each other host, and the listener for theirs."""
+
+import asyncio
+import ssl as ssl_module
+from collections import deque
+
+from ... import logs
+from ...checks import is_address, is_name, split_address
+from ...core import messages as msg
+from ...core.actions import SendPeer
+from ...core.events import PeerBroken, PeerConnected, PeerMessage
+from ...core.membership import HostInfo
+from ...errors import FrameError
+from ...wire import PROTOCOL, encode, read_message
+from ..runtime import Runtime
+
+CONNECT_S = 1.0
+HELLO_S = 5.0
+REDIAL_MIN_S = 0.05
+REDIAL_MAX_S = 1.0
+QUEUE_MAX = 5000
+REVIEW_S = 0.2
+WRITE_BATCH = 256
+
+
+class Link:
+    """An outgoing stream to one host; only this side sends on it."""
+
+    __slots__ = ("_mesh", "_queue", "_wake", "host_id", "task")
+
+    def __init__(self, mesh: "Mesh", host_id: str) -> None:
+        self._mesh = mesh
+        self._queue: deque[bytes] = deque()
+        self._wake = asyncio.Event()
+        self.host_id = host_id
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def send(self, message: msg.Message) -> None:
+        """Queue a message; the oldest are dropped when the host takes none."""
+        if len(self._queue) >= QUEUE_MAX:
+            self._queue.popleft()
+            self._mesh.runtime.metrics.count("peers.dropped")
+        self._queue.append(encode(message))
+        self._wake.set()
+
+    async def _run(self) -> None:
+        pause = REDIAL_MIN_S
+        while True:
+            opened = await self._session()
+            self._queue.clear()
+            self._mesh.runtime.dispatch(PeerBroken(self.host_id))
+            pause = REDIAL_MIN_S if opened else min(REDIAL_MAX_S, pause * 2)
+            await asyncio.sleep(pause)
+
+    async def _session(self) -> bool:
+        """Connect, say hello and send until the stream breaks."""
+        info = self._mesh.runtime.core.view.members.info(self.host_id)
+        if info is None:
+            return False
+        host, port = split_address(info.peer)
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                reader, writer = await asyncio.open_connection(
+                    host, port, ssl=self._mesh.client_ssl
+                )
+        except (OSError, TimeoutError, ssl_module.SSLError):
+            return False
+        try:
+            writer.write(encode(self._mesh.hello()))
+            await self._pump(reader, writer)
+        except (OSError, ssl_module.SSLError):
+            pass
+        finally:
+            writer.transport.abort()
+        return True
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        gone = asyncio.get_running_loop().create_task(reader.read(1))
+        gone.add_done_callback(lambda _task: self._wake.set())
+        try:
+            while not gone.done():
+                if not self._queue:
+                    self._wake.clear()
+                    await self._wake.wait()
+                    continue
+                count = min(len(self._queue), WRITE_BATCH)
+                batch = [self._queue.popleft() for _ in range(count)]
+                writer.write(b"".join(batch))
+                await writer.drain()
+        finally:
+            gone.cancel()
+            await asyncio.gather(gone, return_exceptions=True)
+
+
+class Mesh:
+    """Links to all hosts that the core knows, and the listener for theirs.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Where events go.
+    address : str
+        Where this host listens for others.
+    server_ssl, client_ssl : ssl.SSLContext, optional
+        Mutual TLS, so that nobody else joins.
+    """
+
+    __slots__ = (
+        "_accepted",
+        "_address",
+        "_links",
+        "client_ssl",
+        "runtime",
+        "server_ssl",
+    )
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        address: str,
+        server_ssl: ssl_module.SSLContext | None = None,
+        client_ssl: ssl_module.SSLContext | None = None,
+    ) -> None:
+        self.runtime = runtime
+        self.server_ssl = server_ssl
+        self.client_ssl = client_ssl
+        self._address = address
+        self._links: dict[str, Link] = {}
+        self._accepted: set[asyncio.StreamWriter] = set()
+        runtime.perform_with(self._send, SendPeer)
+
+    def hello(self) -> msg.Hello:
+        """Return this host's first message."""
+        view = self.runtime.core.view
+        own = view.own
+        return msg.Hello(
+            own.host_id,
+            view.incarnation,
+            PROTOCOL,
+            own.region,
+            own.failure_domain,
+            own.entry,
+            own.peer,
+        )
+
+    def _send(self, action: SendPeer) -> None:
+        link = self._links.get(action.host_id)
+        if link is None:
+            if self.runtime.core.view.members.info(action.host_id) is None:
+                return
+            link = Link(self, action.host_id)
+            self._links[action.host_id] = link
+        link.send(action.message)
+
+    async def run(self) -> None:
+        """Listen, and keep links to the known hosts, until cancelled."""
+        host, port = split_address(self._address)
+        server = await asyncio.start_server(
+            self._accept, host, port, ssl=self.server_ssl
+        )
+        try:
+            while True:
+                self._review()
+                await asyncio.sleep(REVIEW_S)
+        finally:
+            server.close()
+            for writer in list(self._accepted):
+                writer.transport.abort()
+            for link in self._links.values():
+                link.task.cancel()
+            self._links.clear()
+
+    def _review(self) -> None:
+        members = self.runtime.core.view.members
+        known = {state.info.host_id for state in members.others()}
+        for host_id in [host_id for host_id in self._links if host_id not in known]:
+            self._links.pop(host_id).task.cancel()
+        for host_id in known:
+            if host_id not in self._links:
+                self._links[host_id] = Link(self, host_id)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._accepted.add(writer)
+        try:
+            async with asyncio.timeout(HELLO_S):
+                hello = await read_message(reader)
+            self._check_hello(hello)
+            info = HostInfo(
+                hello.host_id,
+                hello.region,
+                hello.failure_domain,
+                hello.entry,
+                hello.peer,
+            )
+            self.runtime.dispatch(PeerConnected(info, hello.incarnation))
+            while True:
+                message = await read_message(reader)
+                self.runtime.dispatch(PeerMessage(hello.host_id, message))
+        except FrameError as exc:
+            self.runtime.metrics.count(f"bad-input.{exc.code}")
+            logs.event("peer-refused", "WARNING", code=exc.code, why=exc.message)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._accepted.discard(writer)
+            writer.transport.abort()
+
+    def _check_hello(self, hello: msg.Message) -> None:
+        if not isinstance(hello, msg.Hello):
+            raise FrameError("bad-hello", "expected a hello first")
+        if hello.protocol != PROTOCOL:
+            raise FrameError("bad-protocol", f"expected {PROTOCOL}, {hello.protocol}")
+        names = (hello.host_id, hello.region, hello.failure_domain)
+        if not all(is_name(name) for name in names):
+            raise FrameError("bad-hello", "expected names for host, region, domain")
+        if not (is_address(hello.entry) and is_address(hello.peer)):
+            raise FrameError("bad-hello", "expected addresses like 127.0.0.1:8080")
+        if hello.host_id == self.runtime.core.view.own.host_id:
+            raise FrameError("bad-hello", "another process uses this host's id")
--- /dev/null
+++ b/lacewingcross/host/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' side: health, metrics and status over HTTP."""
--- /dev/null
+++ b/lacewingcross/host/operators/listener.py
@@ -0,0 +1,139 @@
+"""Health, metrics, status and explanations for operators over HTTP."""
+
+import asyncio
+from urllib.parse import parse_qs
+
+from ...checks import split_address
+from ...core.blocks import parse_address
+from ...core.plan import bucket_of
+from ...http1_json import send_error, send_json
+from ...http1_server import Exchange, HttpServer
+from ..runtime import Runtime
+
+
+class OperatorsListener:
+    """Serves operators and their tools on a port of its own."""
+
+    __slots__ = ("_address", "_runtime", "server")
+
+    def __init__(self, runtime: Runtime, address: str) -> None:
+        self._runtime = runtime
+        self._address = address
+        self.server = HttpServer(self._handle, runtime.now, max_connections=100)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        host, port = split_address(self._address)
+        await self.server.start(host, port)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            await self.server.close()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        path, _, query = exchange.head.target.partition("?")
+        params = {key: values[0] for key, values in parse_qs(query).items()}
+        if path == "/healthz":
+            ready = self._runtime.core.view.config.complete
+            status = 200 if ready else 503
+            await send_json(exchange, status, {"ready": ready})
+        elif path == "/metrics":
+            body = self._runtime.metrics.render().encode()
+            await exchange.respond(200, [(b"content-type", b"text/plain")], body)
+        elif path == "/status":
+            await send_json(exchange, 200, status_data(self._runtime))
+        elif path == "/explain":
+            await send_json(exchange, 200, explain(self._runtime, params))
+        else:
+            paths = "/healthz, /metrics, /status or /explain"
+            await send_error(exchange, 404, "not-found", f"expected {paths}")
+
+
+def status_data(runtime: Runtime) -> dict[str, object]:
+    """Return what this host has in force, as JSON data."""
+    core = runtime.core
+    view = core.view
+    now = runtime.now()
+    return {
+        "host": view.own.host_id,
+        "state": view.members.own_state,
+        "revision": view.config.revision,
+        "requests": len(core.requests.requests),
+        "hosts": {
+            info.host_id: view.members.state_of(info.host_id, now)
+            for info in view.members.hosts()
+        },
+        "rejected": view.config.rejected,
+        "plans": {
+            service: {
+                group: dict(sorted(_counts(table).items()))
+                for group, table in plan.tables.items()
+            }
+            for service, plan in view.plans.items()
+        },
+        "keepers": [
+            _keeper_data(keeper, now) for keeper in core.keepers.keepers.values()
+        ],
+        "planners": {
+            service: {
+                "owner": view.planner_of(service, now),
+                "held": planner.hold_reason,
+            }
+            for service, planner in core.planners.planners.items()
+        },
+    }
+
+
+def _counts(table: list[str]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for region in table:
+        counts[region] = counts.get(region, 0) + 1
+    return counts
+
+
+def _keeper_data(keeper, now: float) -> dict[str, object]:
+    return {
+        "service": keeper.service,
+        "region": keeper.region,
+        "in_flight": len(keeper.permits),
+        "queued": len(keeper.queue),
+        "limit": keeper.limit,
+        "recovering": keeper.recovering(now),
+        "servers": {
+            server_id: {
+                "granted": state.granted,
+                "capacity": state.capacity(now),
+                "leaving": state.leaving,
+                "unreachable": state.unreachable,
+                "ejected": now < state.ejected_until,
+            }
+            for server_id, state in keeper.servers.states.items()
+        },
+    }
+
+
+def explain(runtime: Runtime, params: dict[str, str]) -> dict[str, object]:
+    """Return why a caller goes where it goes, step by step."""
+    view = runtime.core.view
+    now = runtime.now()
+    service = params.get("service", "")
+    text = params.get("address", "")
+    caller = params.get("caller", "") or text
+    group = view.config.group_of(service, parse_address(text) if text else None)
+    bucket = bucket_of(service, caller)
+    plan = view.plans.get(service)
+    region = plan.region(group, bucket) if plan and group else None
+    return {
+        "service": service,
+        "address": text,
+        "caller": caller,
+        "group": group,
+        "bucket": bucket,
+        "region": region,
+        "plan_version": view.config.plan_versions.get(service),
+        "slot_keeper": view.keeper_of(service, region, now) if region else None,
+        "planner": view.planner_of(service, now),
+        "drained_regions": sorted(view.config.drained_regions(service)),
+        "leaving_servers": sorted(view.leaving_servers(service)),
+        "revision": view.config.revision,
+    }
--- /dev/null
+++ b/lacewingcross/host/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's side: configuration watch, host list and writes."""
--- /dev/null
+++ b/lacewingcross/host/platform/watch.py
@@ -0,0 +1,135 @@
+"""Follows the configuration and the host list in the platform."""
+
+import asyncio
+import random
+
+from ... import logs
+from ...core.config import CONFIG_KINDS, Entry
+from ...core.events import ConfigSeen, HostsListed
+from ...core.resources import encode_value, split_key
+from ...errors import PlatformError
+from ...platform_client import Listing, PlatformClient
+from ..runtime import Runtime
+
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 2.0
+FOLLOWER_REVIEW_S = 1.0
+HOST_LIST_S = 1.0
+
+
+class Backoff:
+    """Pauses that double up to a bound, with full jitter."""
+
+    __slots__ = ("_pause", "_rng")
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._pause = RETRY_MIN_S
+
+    def reset(self) -> None:
+        """Start over after a success."""
+        self._pause = RETRY_MIN_S
+
+    async def wait(self) -> None:
+        """Sleep for the next pause.
+
+        The jitter keeps a fleet that lost the platform together from coming back
+        to it together.
+        """
+        await asyncio.sleep(self._rng.uniform(0.5, 1.0) * self._pause)
+        self._pause = min(RETRY_MAX_S, self._pause * 2)
+
+
+class ConfigWatcher:
+    """Lists once, then watches; relists when the platform compacted its history."""
+
+    __slots__ = ("_after", "_listed", "_platform", "_runtime")
+
+    def __init__(self, runtime: Runtime, platform: PlatformClient) -> None:
+        self._runtime = runtime
+        self._platform = platform
+        self._listed = False
+        self._after = 0
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled."""
+        view = self._runtime.core.view
+        backoff = Backoff(view.rng)
+        while True:
+            if self._listed and not view.should_watch(self._runtime.now()):
+                await asyncio.sleep(FOLLOWER_REVIEW_S)
+                continue
+            try:
+                await self._step()
+                backoff.reset()
+            except PlatformError as exc:
+                if exc.code == "compacted":
+                    self._listed = False
+                self._runtime.metrics.count(f"platform.watch-{exc.code}")
+                await backoff.wait()
+
+    async def _step(self) -> None:
+        if not self._listed:
+            self._take_list(await self._platform.list(*CONFIG_KINDS))
+            self._listed = True
+            return
+        changes = await self._platform.watch(CONFIG_KINDS, self._after)
+        self._after = changes.revision
+        if changes.objects:
+            self._take(_entries(changes), changes.revision)
+
+    def _take_list(self, listing: Listing) -> None:
+        entries = _entries(listing)
+        listed = {entry.key for entry in entries}
+        config = self._runtime.core.view.config
+        for key, entry in config.entries.items():
+            missing = key not in listed and entry.version <= listing.revision
+            if missing and entry.text and split_key(key)[0] in CONFIG_KINDS:
+                # Deleted while nobody watched: the list shows it by absence only.
+                entries.append(Entry(key, listing.revision, ""))
+        self._after = listing.revision
+        self._take(entries, listing.revision)
+        logs.event("config-listed", revision=listing.revision, entries=len(entries))
+
+    def _take(self, entries: list[Entry], revision: int) -> None:
+        self._runtime.dispatch(ConfigSeen(entries, revision))
+
+
+def _entries(listing: Listing) -> list[Entry]:
+    return [
+        Entry(
+            item.key,
+            item.version,
+            "" if item.value is None else encode_value(item.value),
+        )
+        for item in listing.objects
+    ]
+
+
+class HostListPoller:
+    """Reads the platform's list of hosts again and again."""
+
+    __slots__ = ("_platform", "_runtime")
+
+    def __init__(self, runtime: Runtime, platform: PlatformClient) -> None:
+        self._runtime = runtime
+        self._platform = platform
+
+    async def run(self) -> None:
+        """Poll until cancelled; more slowly in a larger fleet."""
+        view = self._runtime.core.view
+        backoff = Backoff(view.rng)
+        while True:
+            if not view.should_watch(self._runtime.now()):
+                await asyncio.sleep(FOLLOWER_REVIEW_S)
+                continue
+            try:
+                listing = await self._platform.hosts()
+            except PlatformError as exc:
+                self._runtime.metrics.count(f"platform.hosts-{exc.code}")
+                await backoff.wait()
+                continue
+            backoff.reset()
+            event = HostsListed(listing.hosts, listing.leaving_servers)
+            self._runtime.dispatch(event)
+            await asyncio.sleep(HOST_LIST_S * view.rng.uniform(0.9, 1.1))
--- /dev/null
+++ b/lacewingcross/host/platform/writes.py
@@ -0,0 +1,82 @@
+"""Carries out the core's conditional writes in the platform."""
+
+import asyncio
+
+from ...core.actions import CreateObject, DropClaim, UpdateObject
+from ...core.events import WriteEnded
+from ...errors import PlatformError
+from ...platform_client import PlatformClient
+from ..runtime import Runtime
+from .watch import Backoff
+
+DROP_TRIES = 60
+
+
+class PlatformWriter:
+    """Performs writes as tasks and reports how they ended."""
+
+    __slots__ = ("_platform", "_runtime", "_tasks")
+
+    def __init__(self, runtime: Runtime, platform: PlatformClient) -> None:
+        self._runtime = runtime
+        self._platform = platform
+        self._tasks: set[asyncio.Task[None]] = set()
+        runtime.perform_with(self._begin_write, CreateObject, UpdateObject)
+        runtime.perform_with(self._begin_drop, DropClaim)
+
+    def _begin_write(self, action: CreateObject | UpdateObject) -> None:
+        self._spawn(self._write(action))
+
+    def _begin_drop(self, action: DropClaim) -> None:
+        self._spawn(self._drop(action))
+
+    def _spawn(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _write(self, action: CreateObject | UpdateObject) -> None:
+        try:
+            if isinstance(action, CreateObject):
+                stored = await self._platform.create(action.key, action.spec)
+            else:
+                stored = await self._platform.update(
+                    action.key, action.spec, action.if_version
+                )
+            ended = WriteEnded(action.call_id, "ok", stored.version)
+        except PlatformError as exc:
+            self._runtime.metrics.count(f"platform.write-{exc.code}")
+            ended = await self._failed(action, exc)
+        self._runtime.dispatch(ended)
+
+    async def _failed(
+        self, action: CreateObject | UpdateObject, exc: PlatformError
+    ) -> WriteEnded:
+        if exc.code not in ("conflict", "not-found"):
+            return WriteEnded(action.call_id, "unavailable")
+        try:
+            stored = await self._platform.get(action.key)
+            return WriteEnded(action.call_id, "conflict", stored.version)
+        except PlatformError:
+            return WriteEnded(action.call_id, "conflict")
+
+    async def _drop(self, action: DropClaim) -> None:
+        """Delete a claim of ours once the store answers; leave others' alone."""
+        backoff = Backoff(self._runtime.core.view.rng)
+        for _ in range(DROP_TRIES):
+            try:
+                stored = await self._platform.get(action.key)
+                spec = stored.spec()
+                if not isinstance(spec, dict) or spec.get("claim") != action.claim:
+                    return
+                await self._platform.delete(action.key, stored.version)
+                return
+            except PlatformError as exc:
+                if exc.code == "not-found":
+                    return
+            await backoff.wait()
+
+    def close(self) -> None:
+        """Stop what is under way."""
+        for task in self._tasks:
+            task.cancel()
--- /dev/null
+++ b/lacewingcross/host/supervisor.py
@@ -0,0 +1,85 @@
+"""A supervisor: starts children in order, restarts those that fail, stops them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from .. import logs
+
+RESTART_MIN_S = 0.1
+RESTART_MAX_S = 5.0
+STEADY_S = 30.0
+
+
+@dataclass(slots=True, frozen=True)
+class Child:
+    """A named coroutine function that runs until it is cancelled."""
+
+    name: str
+    run: Callable[[], Awaitable[None]]
+
+
+class Supervisor:
+    """Runs children one-for-one: one that fails is restarted alone, with backoff.
+
+    Parameters
+    ----------
+    name : str
+        Name in the tree, for logs.
+    children : list of Child
+        Started in order, stopped in reverse order. A child may be the `run` of
+        another supervisor.
+    """
+
+    __slots__ = ("_children", "_tasks", "name", "restarts")
+
+    def __init__(self, name: str, children: list[Child]) -> None:
+        self.name = name
+        self.restarts = 0
+        self._children = children
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Run all children until cancelled."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(
+                self._keep_running(child), name=f"{self.name}/{child.name}"
+            )
+            for child in self._children
+        ]
+        try:
+            await asyncio.gather(*self._tasks)
+        finally:
+            await self._stop()
+
+    async def _stop(self) -> None:
+        for task in reversed(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _keep_running(self, child: Child) -> None:
+        loop = asyncio.get_running_loop()
+        pause = RESTART_MIN_S
+        while True:
+            started = loop.time()
+            try:
+                await child.run()
+                return
+            except asyncio.CancelledError:
+                raise
+            except AssertionError:
+                # A broken invariant: going on could break a promise. Stop.
+                raise
+            except Exception as exc:
+                self.restarts += 1
+                logs.event(
+                    "child-restarted",
+                    "ERROR",
+                    child=f"{self.name}/{child.name}",
+                    error=repr(exc),
+                )
+            if loop.time() - started > STEADY_S:
+                pause = RESTART_MIN_S
+            await asyncio.sleep(pause)
+            pause = min(RESTART_MAX_S, pause * 2)
--- /dev/null
+++ b/lacewingcross/http1_client.py
@@ -0,0 +1,235 @@
+"""HTTP/1.1 client connections on h11, and a small pool for whole exchanges."""
+
+import asyncio
+import ssl as ssl_module
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import h11
+
+from . import headers as hd
+from .checks import split_address
+
+READ_SIZE = 64 * 1024
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE = 8
+
+
+class HttpError(Exception):
+    """An exchange failed.
+
+    Parameters
+    ----------
+    reason : str
+        What happened.
+    sent : bool
+        Whether a byte of the request had been written.
+    """
+
+    def __init__(self, reason: str, *, sent: bool) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.sent = sent
+
+
+@dataclass(slots=True, frozen=True)
+class ResponseHead:
+    """Status and headers of a response."""
+
+    status: int
+    headers: hd.HeaderList
+
+
+@dataclass(slots=True, frozen=True)
+class Response:
+    """A whole response."""
+
+    status: int
+    headers: hd.HeaderList
+    body: bytes
+
+
+class ClientConnection:
+    """One connection to a server; carries one exchange at a time."""
+
+    __slots__ = ("_h11", "_reader", "_writer", "used_at")
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._h11 = h11.Connection(h11.CLIENT)
+        self.used_at = 0.0
+
+    @classmethod
+    async def open(
+        cls,
+        address: str,
+        ssl: ssl_module.SSLContext | None = None,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> "ClientConnection":
+        """Connect; raise HttpError with ``sent=False`` when that fails."""
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(host, port, ssl=ssl)
+        except (OSError, TimeoutError) as exc:
+            raise HttpError(f"connect: {exc!r}", sent=False) from exc
+        return cls(reader, writer)
+
+    def stale(self) -> bool:
+        """Tell whether the server has closed its side."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
+    async def send_head(self, method: str, target: str, headers: hd.HeaderList) -> None:
+        """Write the head of a request."""
+        await self._send(h11.Request(method=method, target=target, headers=headers))
+
+    async def send_body(self, data: bytes) -> None:
+        """Write a part of the body, waiting while the server is slow."""
+        await self._send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """End the request."""
+        await self._send(h11.EndOfMessage())
+
+    async def _send(self, event: h11.Event) -> None:
+        try:
+            data = self._h11.send(event)
+            if data:
+                self._writer.write(data)
+                await self._writer.drain()
+        except (OSError, h11.LocalProtocolError) as exc:
+            raise HttpError(f"write: {exc!r}", sent=True) from exc
+
+    async def _next(self) -> h11.Event:
+        while True:
+            try:
+                event = self._h11.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._h11.receive_data(await self._reader.read(READ_SIZE))
+            except (OSError, h11.RemoteProtocolError) as exc:
+                raise HttpError(f"read: {exc!r}", sent=True) from exc
+
+    async def read_head(self) -> ResponseHead:
+        """Read the head of the response, passing over interim ones."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                return ResponseHead(event.status_code, list(event.headers))
+            if not isinstance(event, h11.InformationalResponse):
+                raise HttpError("connection closed before a response", sent=True)
+
+    async def read_body(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body; raise HttpError when it is cut short."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise HttpError("body cut short", sent=True)
+
+    def reusable(self) -> bool:
+        """Make ready for another exchange; return False when that is impossible.
+
+        Only a connection whose request and response are both whole is used again:
+        what is left of an abandoned exchange would answer the next one.
+        """
+        done = (h11.DONE, h11.DONE)
+        if (self._h11.our_state, self._h11.their_state) != done:
+            return False
+        self._h11.start_next_cycle()
+        return not self.stale()
+
+    def close(self) -> None:
+        """Drop the connection."""
+        transport = self._writer.transport
+        if transport is not None:
+            transport.abort()
+
+
+class HttpClient:
+    """Whole exchanges with one server over a few kept connections.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    ssl : ssl.SSLContext, optional
+        For TLS.
+    """
+
+    __slots__ = ("_idle", "_ssl", "address")
+
+    def __init__(self, address: str, ssl: ssl_module.SSLContext | None = None) -> None:
+        self.address = address
+        self._ssl = ssl
+        self._idle: list[ClientConnection] = []
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        headers: hd.HeaderList | None = None,
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+    ) -> Response:
+        """Send a request and read the whole response.
+
+        Raises
+        ------
+        HttpError
+            `sent` tells whether the request may have reached the server.
+        """
+        conn = await self._take()
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self._exchange(conn, method, target, headers, body)
+        except TimeoutError as exc:
+            conn.close()
+            raise HttpError("timeout", sent=True) from exc
+        except BaseException:
+            conn.close()
+            raise
+        if conn.reusable() and len(self._idle) < MAX_IDLE:
+            self._idle.append(conn)
+        else:
+            conn.close()
+        return response
+
+    async def _take(self) -> ClientConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            if not conn.stale():
+                return conn
+            conn.close()
+        return await ClientConnection.open(self.address, self._ssl)
+
+    async def _exchange(
+        self,
+        conn: ClientConnection,
+        method: str,
+        target: str,
+        headers: hd.HeaderList | None,
+        body: bytes,
+    ) -> Response:
+        fields = [(b"host", self.address.encode()), *(headers or [])]
+        if body or method in ("POST", "PUT"):
+            fields.append((hd.CONTENT_LENGTH, str(len(body)).encode()))
+        await conn.send_head(method, target, fields)
+        if body:
+            await conn.send_body(body)
+        await conn.finish()
+        head = await conn.read_head()
+        parts = [part async for part in conn.read_body()]
+        return Response(head.status, head.headers, b"".join(parts))
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        for conn in self._idle:
+            conn.close()
+        self._idle.clear()
--- /dev/null
+++ b/lacewingcross/operations.py
@@ -0,0 +1,344 @@
+"""What operators do, as a library: apply, delete, follow, drain, explain."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from .clock import Clock, SystemClock
+from .core import resources as res
+from .core.blocks import parse_address
+from .core.config import CONFIG_KINDS, Config, Entry
+from .core.lookup import LookupRefusal, answer
+from .core.membership import LIVE, HostInfo, Membership
+from .core.plan import bucket_of
+from .core.reports import REPORT_KIND
+from .core.slew import EffectivePlan
+from .errors import PlatformError, ResourceError, UserError
+from .platform_client import PlatformClient, StoredObject
+
+POLL_S = 0.1
+
+
+@dataclass(slots=True, frozen=True)
+class Document:
+    """A resource as written in a file; `version` 0 means whatever is stored."""
+
+    kind: str
+    name: str
+    spec: object
+    version: int = 0
+
+    @property
+    def key(self) -> str:
+        """Return the platform key."""
+        return res.object_key(self.kind, self.name)
+
+
+@dataclass(slots=True, frozen=True)
+class Applied:
+    """What became of one document."""
+
+    key: str
+    version: int
+    change: str
+
+
+@dataclass(slots=True)
+class InForce:
+    """Which hosts have a version in force."""
+
+    wanted: int
+    revisions: dict[str, int] = field(default_factory=dict)
+    live: set[str] = field(default_factory=set)
+
+    def behind(self) -> list[str]:
+        """Return the live hosts that do not have the version yet."""
+        return sorted(
+            host_id
+            for host_id in self.live
+            if self.revisions.get(host_id, -1) < self.wanted
+        )
+
+
+def read_documents(data: object, where: str) -> list[Document]:
+    """Return the checked documents in decoded JSON.
+
+    Parameters
+    ----------
+    data : object
+        One resource, a list of them, or an object with `items`.
+    where : str
+        Name of the source, for errors.
+
+    Raises
+    ------
+    ResourceError
+        Names the place and what was expected.
+    """
+    if isinstance(data, dict) and "items" in data:
+        data = data["items"]
+    items = data if isinstance(data, list) else [data]
+    return [_document(item, f"{where}[{num}]") for num, item in enumerate(items)]
+
+
+def _document(item: object, where: str) -> Document:
+    reader = res.Reader(item, where, ResourceError)
+    kind = reader.text("kind", choices=res.OPERATOR_KINDS)
+    name = reader.name("name")
+    version = reader.integer("version", 0)
+    spec = reader._take("spec", None)
+    reader.finish()
+    res.parse(kind, name, spec, where)
+    return Document(kind, name, spec, version)
+
+
+class Operator:
+    """Operators' actions against the platform.
+
+    Parameters
+    ----------
+    platform : PlatformClient
+        The object API.
+    clock : Clock, optional
+        Source of time.
+    """
+
+    def __init__(self, platform: PlatformClient, clock: Clock | None = None) -> None:
+        self.platform = platform
+        self._now = (clock or SystemClock()).monotonic
+
+    async def apply(self, document: Document) -> Applied:
+        """Create or replace a resource by conditional update.
+
+        Raises
+        ------
+        PlatformError
+            With code ``conflict`` when somebody else was first; the message says
+            who, and which fields differ.
+        """
+        try:
+            stored = await self.platform.get(document.key)
+        except PlatformError as exc:
+            if exc.code != "not-found":
+                raise
+            return await self._create(document)
+        if document.version and document.version != stored.version:
+            raise self._conflict(document, stored)
+        if stored.spec() == document.spec:
+            return Applied(document.key, stored.version, "unchanged")
+        try:
+            written = await self.platform.update(
+                document.key, document.spec, stored.version
+            )
+        except PlatformError as exc:
+            if exc.code not in ("conflict", "not-found"):
+                raise
+            raise await self._lost_race(document, exc) from exc
+        return Applied(document.key, written.version, "updated")
+
+    async def _create(self, document: Document) -> Applied:
+        try:
+            written = await self.platform.create(document.key, document.spec)
+        except PlatformError as exc:
+            if exc.code != "conflict":
+                raise
+            raise await self._lost_race(document, exc) from exc
+        return Applied(document.key, written.version, "created")
+
+    async def _lost_race(self, document: Document, exc: PlatformError) -> PlatformError:
+        try:
+            stored = await self.platform.get(document.key)
+        except PlatformError:
+            return exc
+        return self._conflict(document, stored)
+
+    def _conflict(self, document: Document, stored: StoredObject) -> PlatformError:
+        winner = stored.writer() or "another writer"
+        differs = ", ".join(differing_fields(stored.spec(), document.spec)) or "nothing"
+        return PlatformError(
+            "conflict",
+            f"{document.key}: {winner} was first (version {stored.version}); "
+            f"differs in: {differs}; read it again and repeat",
+        )
+
+    async def delete(self, kind: str, name: str) -> Applied:
+        """Delete a resource at the version just read."""
+        key = res.object_key(kind, name)
+        stored = await self.platform.get(key)
+        version = await self.platform.delete(key, stored.version)
+        return Applied(key, version, "deleted")
+
+    async def in_force(self, version: int) -> InForce:
+        """Return which live hosts have `version` in force."""
+        listing = await self.platform.hosts()
+        reports = await self.platform.list(REPORT_KIND)
+        result = InForce(version)
+        result.live = {info.host_id for info in listing.hosts if info.listed == LIVE}
+        for report in reports.objects:
+            for host_id, said in _reported_hosts(report).items():
+                known = result.revisions.get(host_id, -1)
+                result.revisions[host_id] = max(known, int(said.get("revision", -1)))
+        return result
+
+    async def wait_in_force(self, version: int, timeout_s: float) -> InForce:
+        """Wait until every live host has `version` in force.
+
+        Raises
+        ------
+        UserError
+            With code ``not-in-force`` naming the hosts that lag.
+        """
+        deadline = self._now() + timeout_s
+        while True:
+            state = await self.in_force(version)
+            behind = state.behind()
+            if state.live and not behind:
+                return state
+            if self._now() >= deadline:
+                names = ", ".join(behind) or "no live host is listed"
+                raise UserError(
+                    "not-in-force", f"version {version}: waiting for {names}"
+                )
+            await asyncio.sleep(POLL_S)
+
+    async def wait_drained(self, drain: str, timeout_s: float) -> None:
+        """Wait until every backend server of a drain is idle.
+
+        Raises
+        ------
+        UserError
+            With code ``not-drained`` naming what is still in flight.
+        """
+        deadline = self._now() + timeout_s
+        while True:
+            left = await self.drain_progress(drain)
+            if left is not None and not any(left.values()):
+                return
+            if self._now() >= deadline:
+                raise UserError("not-drained", f"{drain}: in flight {left}")
+            await asyncio.sleep(POLL_S)
+
+    async def drain_progress(self, drain: str) -> dict[str, int] | None:
+        """Return requests in flight at each leaving server; None if not seen yet."""
+        config = await self.config()
+        known = config.drains.get(drain)
+        if known is None:
+            raise UserError("not-found", f"Drain/{drain}: no such resource")
+        in_flight = await self._leaving()
+        wanted = [
+            f"{service}/{server_id}"
+            for service in config.pools
+            if known.service in ("", service)
+            for server_id in config.leaving_servers(service)
+        ]
+        if any(key not in in_flight for key in wanted):
+            return None
+        return {key: in_flight[key] for key in wanted}
+
+    async def _leaving(self) -> dict[str, int]:
+        reports = await self.platform.list(REPORT_KIND)
+        in_flight: dict[str, int] = {}
+        for report in reports.objects:
+            spec = report.spec()
+            if isinstance(spec, dict):
+                in_flight.update(spec.get("leaving", {}))
+        return in_flight
+
+    async def config(self) -> Config:
+        """Return the stored configuration, interpreted as hosts do."""
+        listing = await self.platform.list(*CONFIG_KINDS)
+        config = Config()
+        entries = (
+            Entry(item.key, item.version, res.encode_value(item.value))
+            for item in listing.objects
+        )
+        config.merge(entries, listing.revision, True)
+        return config
+
+    async def resources(self, *kinds: str) -> list[StoredObject]:
+        """Return stored objects, sorted by key."""
+        listing = await self.platform.list(*kinds)
+        return sorted(listing.objects, key=lambda item: item.key)
+
+    async def follow(self, *kinds: str) -> AsyncIterator[StoredObject]:
+        """Yield the stored objects, then every change."""
+        listing = await self.platform.list(*kinds)
+        for item in sorted(listing.objects, key=lambda item: item.version):
+            yield item
+        after = listing.revision
+        while True:
+            changes = await self.platform.watch(tuple(kinds), after)
+            after = changes.revision
+            for item in changes.objects:
+                yield item
+
+    async def explain(
+        self, service: str, address: str, caller: str
+    ) -> dict[str, object]:
+        """Return step by step why a caller goes where it goes."""
+        config = await self.config()
+        if service not in config.policies:
+            raise UserError("not-found", f"SteeringPolicy/{service}: no such resource")
+        number = parse_address(address) if address else None
+        if address and number is None:
+            raise UserError("bad-address", f"expected an IPv4 address, got {address!r}")
+        caller = caller or address
+        group = config.group_of(service, number)
+        bucket = bucket_of(service, caller)
+        stored_plan = config.plans.get(service)
+        region = stored_plan.tables[group][bucket] if stored_plan else None
+        hosts = await self._entry_hosts(config, service, number, caller)
+        return {
+            "service": service,
+            "address": address,
+            "caller": caller,
+            "group": group,
+            "bucket": bucket,
+            "region": region,
+            "plan_version": config.plan_versions.get(service),
+            "entry_hosts": hosts,
+            "drained_regions": sorted(config.drained_regions(service)),
+            "leaving_servers": sorted(config.leaving_servers(service)),
+        }
+
+    async def _entry_hosts(
+        self, config: Config, service: str, number: int | None, caller: str
+    ) -> list[str]:
+        listing = await self.platform.hosts()
+        if not listing.hosts:
+            return []
+        now = self._now()
+        members = Membership(listing.hosts[0])
+        members.on_list(listing.hosts, now)
+        plans: dict[str, EffectivePlan] = {}
+        if service in config.plans:
+            plans[service] = EffectivePlan()
+            plans[service].adopt(config.plans[service], config.cap(service), now)
+        found = answer(
+            config, members, plans, service, number, caller, random.Random(0), now
+        )
+        if isinstance(found, LookupRefusal):
+            return []
+        return [_host_text(info) for info in found.hosts]
+
+
+def _host_text(info: HostInfo) -> str:
+    return f"{info.host_id} {info.entry} ({info.region})"
+
+
+def _reported_hosts(report: StoredObject) -> dict[str, dict]:
+    spec = report.spec()
+    hosts = spec.get("hosts", {}) if isinstance(spec, dict) else {}
+    return {key: val for key, val in hosts.items() if isinstance(val, dict)}
+
+
+def differing_fields(first: object, second: object, path: str = "") -> list[str]:
+    """Return the paths of the fields in which two specs differ."""
+    if isinstance(first, dict) and isinstance(second, dict):
+        paths: list[str] = []
+        for key in sorted(set(first) | set(second)):
+            inner = f"{path}.{key}" if path else key
+            paths += differing_fields(first.get(key), second.get(key), inner)
+        return paths
+    return [] if first == second else [path or "spec"]
--- /dev/null
+++ b/lacewingcross/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around us, each with fault switches, for tests."""
--- /dev/null
+++ b/lacewingcross/standins/backend.py
@@ -0,0 +1,275 @@
+"""Stand-in for a backend server: slots, shedding, drain, lies and a ledger."""
+
+import asyncio
+import json
+import random
+from collections import deque
+from dataclasses import dataclass
+
+from .. import headers as hd
+from ..checks import Reader, split_address
+from ..clock import Clock, SystemClock
+from ..errors import ResourceError, UserError
+from ..http1_json import read_body, send_error, send_json
+from ..http1_server import CallerGoneError, Exchange, HttpServer
+from ..settings import BackendSettings
+
+CONTROL_MAX = 100_000
+LEDGER_MAX = 500_000
+HEAVY_SHARE = 0.05
+HEAVY_FACTOR = 10.0
+ECHO_PREFIX_MAX = 4096
+
+
+@dataclass(slots=True)
+class LedgerEntry:
+    """What happened to one request here."""
+
+    request_id: str
+    caller: str
+    method: str
+    started: float
+    state: str = "running"
+    body_bytes: int = 0
+
+
+class Switches:
+    """Faults set by tests through ``POST /control``."""
+
+    __slots__ = (
+        "draining",
+        "fail_fast",
+        "lie_health",
+        "lie_load",
+        "lose_answer",
+        "service_ms",
+        "shed_all",
+        "truncate",
+    )
+
+    def __init__(self, cfg: BackendSettings) -> None:
+        self.draining = False
+        self.fail_fast = False
+        self.lie_health = ""
+        self.lie_load = -1
+        self.lose_answer = 0
+        self.truncate = 0
+        self.shed_all = False
+        self.service_ms = cfg.service_ms
+
+    def set(self, data: object) -> None:
+        """Take over the switches named in `data`."""
+        reader = Reader(data, "switches", ResourceError)
+        self.draining = reader.boolean("draining", self.draining)
+        self.fail_fast = reader.boolean("fail_fast", self.fail_fast)
+        self.lie_health = reader.text("lie_health", self.lie_health)
+        self.lie_load = reader.integer("lie_load", self.lie_load, low=-1)
+        self.lose_answer = reader.integer("lose_answer", self.lose_answer)
+        self.truncate = reader.integer("truncate", self.truncate)
+        self.shed_all = reader.boolean("shed_all", self.shed_all)
+        self.service_ms = reader.number("service_ms", self.service_ms)
+        reader.finish()
+
+
+class BackendStandin:
+    """A backend server with a fixed number of slots.
+
+    It answers any request with JSON that names the request, its caller and the
+    size of its body, so that a crossed or short answer shows.
+
+    Parameters
+    ----------
+    cfg : BackendSettings
+        Address, slots and service times.
+    clock : Clock, optional
+        Source of time.
+    """
+
+    def __init__(self, cfg: BackendSettings, clock: Clock | None = None) -> None:
+        clock = clock or SystemClock()
+        self.cfg = cfg
+        self.switches = Switches(cfg)
+        self.ledger: list[LedgerEntry] = []
+        self.shed = 0
+        self.busy = 0
+        self.most_busy = 0
+        self._now = clock.monotonic
+        self._rng = random.Random(cfg.seed)
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._served = 0
+        self.server = HttpServer(
+            self._handle, self._now, max_connections=cfg.connections
+        )
+
+    async def start(self) -> int:
+        """Listen; return the port."""
+        host, port = split_address(self.cfg.listen)
+        return await self.server.start(host, port)
+
+    async def close(self) -> None:
+        """Stop at once, as a crash would."""
+        await self.server.close()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        path = exchange.head.target.partition("?")[0]
+        if path == "/-/health":
+            await send_json(exchange, 200, {"state": self._health()})
+        elif path == "/-/load":
+            await send_json(exchange, 200, self._load())
+        elif path == "/control":
+            await self._control(exchange)
+        elif path == "/control/ledger":
+            await send_json(exchange, 200, self._ledger_data())
+        else:
+            await self._serve(exchange)
+
+    def _health(self) -> str:
+        if self.switches.lie_health:
+            return self.switches.lie_health
+        return "draining" if self.switches.draining else "ok"
+
+    def _load(self) -> dict[str, int]:
+        busy = self.busy if self.switches.lie_load < 0 else self.switches.lie_load
+        return {"slots": self.cfg.slots, "busy": busy}
+
+    def _ledger_data(self) -> dict[str, object]:
+        return {
+            "server_id": self.cfg.server_id,
+            "shed": self.shed,
+            "busy": self.busy,
+            "most_busy": self.most_busy,
+            "entries": [
+                {
+                    "request_id": item.request_id,
+                    "caller": item.caller,
+                    "method": item.method,
+                    "started": item.started,
+                    "state": item.state,
+                    "body_bytes": item.body_bytes,
+                }
+                for item in self.ledger
+            ],
+        }
+
+    async def _control(self, exchange: Exchange) -> None:
+        try:
+            self.switches.set(json.loads(await read_body(exchange, CONTROL_MAX)))
+        except (UserError, ValueError) as exc:
+            await send_error(exchange, 400, "bad-request", str(exc))
+            return
+        await send_json(exchange, 200, {"ok": True})
+
+    async def _serve(self, exchange: Exchange) -> None:
+        if self.switches.fail_fast:
+            await send_error(exchange, 500, "broken", "failing fast on purpose")
+            return
+        if not await self._take_slot(exchange):
+            self.shed += 1
+            await self._not_run(exchange)
+            return
+        entry = self._enter(exchange)
+        try:
+            await self._work(exchange, entry)
+        except (CallerGoneError, asyncio.CancelledError):
+            entry.state = "cancelled"
+            raise
+        finally:
+            self._leave_slot()
+
+    async def _take_slot(self, exchange: Exchange) -> bool:
+        if self.switches.shed_all:
+            return False
+        if self.busy < self.cfg.slots:
+            self.busy += 1
+        elif len(self._waiting) < self.cfg.queue:
+            fut = asyncio.get_running_loop().create_future()
+            self._waiting.append(fut)
+            await fut
+        else:
+            return False
+        self.most_busy = max(self.most_busy, self.busy)
+        return True
+
+    def _leave_slot(self) -> None:
+        while self._waiting:
+            fut = self._waiting.popleft()
+            if not fut.done():
+                fut.set_result(None)
+                return
+        self.busy -= 1
+
+    async def _not_run(self, exchange: Exchange) -> None:
+        headers = [(hd.OUTCOME, b"not-run"), *hd.retry_after(0.5)]
+        await exchange.respond(503, headers, b"")
+
+    def _enter(self, exchange: Exchange) -> LedgerEntry:
+        headers = exchange.head.headers
+        entry = LedgerEntry(
+            hd.find(headers, hd.REQUEST_ID),
+            hd.find(headers, hd.CALLER_ID),
+            exchange.head.method,
+            self._now(),
+        )
+        if len(self.ledger) < LEDGER_MAX:
+            self.ledger.append(entry)
+        return entry
+
+    async def _work(self, exchange: Exchange, entry: LedgerEntry) -> None:
+        while data := await exchange.read():
+            entry.body_bytes += len(data)
+        await self._wait_service(exchange)
+        entry.state = "done"
+        if self.switches.lose_answer > 0:
+            self.switches.lose_answer -= 1
+            exchange.abort()
+            return
+        await self._answer(exchange, entry)
+
+    async def _wait_service(self, exchange: Exchange) -> None:
+        """Work for the service time; stop early when the caller cancels."""
+        gone = asyncio.get_running_loop().create_future()
+        exchange.on_gone = lambda: gone.done() or gone.set_result(None)
+        deadline = hd.milliseconds(exchange.head.headers, hd.DEADLINE_MS)
+        service_s = self._service_s()
+        limit = service_s if deadline is None else min(service_s, deadline)
+        await asyncio.wait((gone,), timeout=limit)
+        if gone.done():
+            raise CallerGoneError
+
+    def _service_s(self) -> float:
+        mean = self.switches.service_ms / 1000.0
+        if self._served < self.cfg.cold_requests:
+            mean *= self.cfg.cold_factor
+        self._served += 1
+        if self.cfg.service_shape == "fixed":
+            return mean
+        if self.cfg.service_shape == "heavy":
+            heavy = self._rng.random() < HEAVY_SHARE
+            return mean * (HEAVY_FACTOR if heavy else 0.5)
+        return self._rng.expovariate(1.0 / mean) if mean > 0 else 0.0
+
+    async def _answer(self, exchange: Exchange, entry: LedgerEntry) -> None:
+        body = json.dumps(
+            {
+                "request_id": entry.request_id,
+                "caller": entry.caller,
+                "server_id": self.cfg.server_id,
+                "body_bytes": entry.body_bytes,
+                "target": exchange.head.target[:ECHO_PREFIX_MAX],
+            }
+        ).encode()
+        load = f"{self.busy}/{self.cfg.slots}".encode()
+        headers = [
+            (b"content-type", b"application/json"),
+            (hd.LOAD, load),
+            (hd.OUTCOME, b"answered"),
+            (hd.CONTENT_LENGTH, str(len(body)).encode()),
+        ]
+        await exchange.send_head(200, headers)
+        if self.switches.truncate > 0:
+            self.switches.truncate -= 1
+            await exchange.send_body(body[: len(body) // 2])
+            exchange.abort()
+            return
+        await exchange.send_body(body)
+        exchange.finish()
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,188 @@
+"""Starts a deployment as real processes for tests and ends only those."""
+
+import asyncio
+import dataclasses
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from lacewingcross.deployments import Deployment, Layout, Ports, ServiceShape, lay_out
+from lacewingcross.embedded import free_ports
+from lacewingcross.http1_client import HttpClient, HttpError
+from lacewingcross.operations import Operator, read_documents
+from lacewingcross.platform_client import PlatformClient
+
+WAIT_S = 30.0
+SMALL = Deployment(
+    "small",
+    ("north", "south", "west"),
+    3,
+    (ServiceShape("booking", 4, 3, 100, 20.0, 5_000, 0.1, 5.0),),
+    0.0,
+    10,
+)
+
+
+def small_layout(**options) -> Layout:
+    """Three hosts in different failure domains and four backend servers."""
+    layout = lay_out(SMALL, Ports(free_ports()), log_level="WARNING", **options)
+    domains = ["north-1", "south-1", "west-1"]
+    for index, (domain, cfg) in enumerate(zip(domains, layout.hosts, strict=False)):
+        region = domain.partition("-")[0]
+        layout.hosts[index] = dataclasses.replace(
+            cfg, region=region, failure_domain=domain
+        )
+    known = tuple(
+        dataclasses.replace(item, region=cfg.region, failure_domain=cfg.failure_domain)
+        for item, cfg in zip(layout.platform.hosts, layout.hosts, strict=True)
+    )
+    layout.platform = dataclasses.replace(layout.platform, hosts=known, list_lag_s=0.3)
+    return layout
+
+
+class Processes:
+    """A layout's platform, hosts and backend servers, each a process."""
+
+    def __init__(self, layout: Layout) -> None:
+        self.layout = layout
+        self.operator = Operator(PlatformClient(layout.platform.listen, writer="test"))
+        self._dir = tempfile.TemporaryDirectory()
+        self._running: dict[str, subprocess.Popen] = {}
+
+    async def __aenter__(self) -> "Processes":
+        self.spawn("platform", ["standin", "platform"], self.layout.platform)
+        for cfg in self.layout.backends:
+            self.spawn(cfg.server_id, ["standin", "backend"], cfg)
+        for cfg in self.layout.hosts:
+            self.spawn(cfg.host_id, ["host"], cfg)
+        await self.platform_ready()
+        newest = 0
+        for document in read_documents(self.layout.resources, "layout"):
+            newest = max(newest, (await self.operator.apply(document)).version)
+        await self.operator.wait_in_force(newest, WAIT_S)
+        await until(self._planned)
+        return self
+
+    async def __aexit__(self, *_exc) -> None:
+        for proc in self._running.values():
+            proc.send_signal(signal.SIGCONT)
+            proc.kill()
+            proc.wait()
+        self._dir.cleanup()
+        self.operator.platform.close()
+
+    def spawn(self, name: str, words: list[str], cfg) -> None:
+        """Start one process with its settings file."""
+        path = Path(self._dir.name) / f"{name}.json"
+        path.write_text(json.dumps(settings_data(cfg)))
+        log = open(Path(self._dir.name) / f"{name}.log", "ab")  # noqa: SIM115
+        self._running[name] = subprocess.Popen(
+            [sys.executable, "-m", "lacewingcross", *words, "--cfg", str(path)],
+            stderr=log,
+            stdout=log,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        log.close()
+
+    def log_of(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (Path(self._dir.name) / f"{name}.log").read_text()
+
+    def signal(self, name: str, signum: int) -> None:
+        """Send a signal to one process."""
+        self._running[name].send_signal(signum)
+
+    def kill(self, name: str) -> None:
+        """SIGKILL one process."""
+        proc = self._running.pop(name)
+        proc.kill()
+        proc.wait()
+
+    async def wait_exit(self, name: str) -> int:
+        """Wait until a process ends by itself; return its exit status."""
+        proc = self._running[name]
+        await until(lambda: proc.poll() is not None)
+        return self._running.pop(name).returncode
+
+    def alive(self, name: str) -> bool:
+        """Tell whether a process still runs."""
+        return self._running[name].poll() is None
+
+    async def platform_ready(self) -> None:
+        """Wait until the platform answers."""
+        await until(lambda: self.fetch(self.layout.platform.listen, "/v1/hosts"))
+
+    async def _planned(self) -> bool:
+        for cfg in self.layout.hosts:
+            status = await self.fetch(cfg.operators, "/status")
+            if not status or not status["plans"]:
+                return False
+        return True
+
+    async def fetch(self, address: str, target: str, data: object = None):
+        """Return the JSON answer of a GET, or of a POST when `data` is given."""
+        client = HttpClient(address)
+        try:
+            if data is None:
+                response = await client.request("GET", target)
+            else:
+                body = json.dumps(data).encode()
+                response = await client.request("POST", target, None, body)
+            return json.loads(response.body)
+        except (HttpError, ValueError):
+            return None
+        finally:
+            client.close()
+
+    async def ledgers(self) -> list[dict]:
+        """Return every entry that the backend servers still running have kept."""
+        entries = []
+        for cfg in self.layout.backends:
+            if cfg.server_id in self._running:
+                data = await self.fetch(cfg.listen, "/control/ledger")
+                entries += data["entries"]
+        return entries
+
+    async def backend(self, server_id: str, **switches) -> None:
+        """Set a backend server's fault switches."""
+        cfg = next(c for c in self.layout.backends if c.server_id == server_id)
+        assert await self.fetch(cfg.listen, "/control", switches) == {"ok": True}
+
+    async def faults(self, **switches) -> None:
+        """Set the platform's fault switches."""
+        address = self.layout.platform.listen
+        assert await self.fetch(address, "/control/faults", switches) == {"ok": True}
+
+    def entries(self) -> list[str]:
+        """Return the entry addresses of all hosts."""
+        return [cfg.entry for cfg in self.layout.hosts]
+
+    def host(self, host_id: str):
+        """Return a host's settings."""
+        return next(cfg for cfg in self.layout.hosts if cfg.host_id == host_id)
+
+
+def settings_data(cfg) -> dict[str, object]:
+    """Return settings as the JSON data that their loader reads."""
+    data = dataclasses.asdict(cfg)
+    if "tls" in data and not data["tls"]["cert"]:
+        del data["tls"]
+    if "hosts" in data:
+        data["hosts"] = list(data["hosts"])
+    return data
+
+
+async def until(condition, timeout_s: float = WAIT_S) -> None:
+    """Wait until `condition` (plain or coroutine function) gives a true value."""
+    async with asyncio.timeout(timeout_s):
+        while True:
+            value = condition()
+            if asyncio.iscoroutine(value):
+                value = await value
+            if value:
+                return
+            await asyncio.sleep(0.05)
