Capacity page from measured slopes; membership and planning that bear the size

Cause: at 4,500 hosts and 4,200 sites one configuration change took 4.0 ms, an idle tick 7 ms and a planning step 47 ms for 56 regions: the live set was walked anew for each question, every host beat every other, pools were searched in full. Ruled out: the codec (27 us a heartbeat, both sides) and the block look-up (0.7 us). Change: live sets are kept until a state can change; neighbours are chosen by a symmetric rule; pools are indexed by region and id; groups at their target are not planned; reports and polls slow down with the fleet; head and body go out in one write.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,303 @@
+"""Fills the tables of docs/CAPACITY.md from the measured slopes."""
+
+import json
+import re
+from dataclasses import dataclass
+from pathlib import Path
+
+from .fit import Slope
+from .slopes import RESULT
+
+PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+NODES = 4_500
+BLOCKS = 160_000
+SITES = 4_200
+LOOKUPS_S = 8_500_000
+REGIONS = 56
+DOMAINS = 203
+CHANGES_S = 27_000 / 86_400
+CORE_LIMIT = 2.9
+MEMORY_LIMIT_MB = 256
+BYTES_LIMIT = 7_000
+PACKET_BYTES = 52
+CHANGE_BYTES = 2_000
+RELAYS = DOMAINS * 2
+SERVICES = 3
+NEAR = NODES // DOMAINS
+TICKS_S = 10
+WATCH_WAIT_S = 20
+HOST_LIST_S = 10
+HOST_ENTRY_BYTES = 150
+REPORT_S = 10
+LOAD_PAUSE_S = max(0.5, 0.03 * REGIONS)
+CALLERS_REMEMBERED = 50_000
+
+
+@dataclass(slots=True, frozen=True)
+class Measured:
+    """The measured file."""
+
+    slopes: dict[str, Slope]
+    path: dict[str, float]
+
+
+def load(path: Path = RESULT) -> Measured:
+    """Read the measured JSON."""
+    data = json.loads(path.read_text())
+    slopes = {name: Slope(**value) for name, value in data["slopes"].items()}
+    return Measured(slopes, data["path"])
+
+
+def slopes_table(measured: Measured) -> str:
+    """Return every slope with the error of its fit."""
+    lines = ["| slope | fixed | for each | worst residual |", "|---|---|---|---|"]
+    for name, slope in sorted(measured.slopes.items()):
+        lines.append(
+            f"| {name} | {slope.fixed:.4g} | {slope.each:.4g} "
+            f"| {100 * slope.worst_residual:.0f}% |"
+        )
+    return "\n".join(lines)
+
+
+def path_table(measured: Measured) -> str:
+    """Return the path's figures."""
+    lines = ["| figure | value |", "|---|---|"]
+    for name, value in sorted(measured.path.items()):
+        lines.append(f"| {name} | {value:.4g} |")
+    return "\n".join(lines)
+
+
+def _beats(measured: Measured) -> tuple[float, float]:
+    """Return heartbeats a second of an ordinary host and of a region's relay."""
+    far = measured.slopes["most_neighbours"].at(NODES) - NEAR
+    return float(NEAR), NEAR + far / 5.0
+
+
+def roles_table(measured: Measured) -> str:
+    """Return processor time, bytes and memory of each role at the target."""
+    slopes = measured.slopes
+    ordinary, relay = _beats(measured)
+    beat_us = slopes["heartbeat_us"].each
+    beat_bytes = slopes["heartbeat_bytes"].each + PACKET_BYTES
+    change_us = slopes["change_us"].each
+    site_us = slopes["site_parse_us"].each
+    step_us = slopes["plan_step_us"].at(REGIONS)
+    loads_s = REGIONS / LOAD_PAUSE_S
+    members_mb = slopes["host_bytes"].at(NODES) / 1e6
+    sites_mb = slopes["site_bytes"].at(SITES) / 1e6
+    blocks_mb = slopes["block_bytes"].at(BLOCKS) / 1e6
+    tick_us = slopes["tick_us"].at(NODES) * TICKS_S
+    change_bytes = CHANGES_S * (CHANGE_BYTES + PACKET_BYTES)
+    announce = CHANGES_S * NEAR * beat_bytes
+    lookups = LOOKUPS_S / NODES
+    lookup_us = measured.path["lookup_cpu_us"]
+    callers_mb = measured.path["rss_each_caller_bytes"] * CALLERS_REMEMBERED / 1e6
+    rows = [
+        ("clock of the core", tick_us, 0.0, 0.0, "one tick, kept live set"),
+        (
+            "membership, ordinary host",
+            ordinary * beat_us,
+            ordinary * beat_bytes,
+            members_mb,
+            "heartbeats inside a failure domain",
+        ),
+        (
+            "membership, relay of a region",
+            relay * beat_us,
+            relay * beat_bytes,
+            members_mb,
+            "relays beat relays every 5 s",
+        ),
+        (
+            "configuration, follower",
+            CHANGES_S * change_us,
+            announce,
+            sites_mb + blocks_mb,
+            "pull from a peer by version, tell neighbours at once",
+        ),
+        (
+            "configuration, relay",
+            CHANGES_S * change_us,
+            announce + change_bytes * NEAR / 2,
+            sites_mb + blocks_mb,
+            "watch; two relays answer the pulls of a failure domain",
+        ),
+        (
+            "planner of one service",
+            step_us + loads_s * beat_us,
+            loads_s * (60 + PACKET_BYTES),
+            0.0,
+            "one step a second, loads of 56 keepers (bytes received)",
+        ),
+        (
+            "slot keeper, each 100 requests/s",
+            100 * slopes["permit_us"].each,
+            100 * (180 + 3 * PACKET_BYTES),
+            0.0,
+            "ask, grant, release (data path)",
+        ),
+        (
+            "look-up (data path)",
+            lookups * lookup_us,
+            0.0,
+            callers_mb,
+            "remembered heads, prepared answers",
+        ),
+    ]
+    lines = [
+        "| role | % of a core | bytes/s sent | MB | mechanism |",
+        "|---|---|---|---|---|",
+    ]
+    for name, micros, sent, memory, how in rows:
+        lines.append(
+            f"| {name} | {micros / 1e4:.2f} | {sent:.0f} | {memory:.1f} | {how} |"
+        )
+    whole_pool = site_us * SITES / 1e3
+    block_build = slopes["block_build_us"].at(BLOCKS) / 1e6
+    lines.append("")
+    lines.append(
+        f"A pool of all {SITES} sites takes {whole_pool:.0f} ms to read at once; "
+        f"{BLOCKS} blocks take {block_build:.2f} s to index at once."
+    )
+    return "\n".join(lines)
+
+
+def node_table(measured: Measured) -> str:
+    """Return the control costs of a whole node against the limits."""
+    slopes = measured.slopes
+    ordinary, relay = _beats(measured)
+    beat_us = slopes["heartbeat_us"].each
+    beat_bytes = slopes["heartbeat_bytes"].each + PACKET_BYTES
+    base = slopes["tick_us"].at(NODES) * TICKS_S + CHANGES_S * slopes["change_us"].each
+    change_bytes = CHANGES_S * (CHANGE_BYTES + PACKET_BYTES)
+    memory = (
+        measured.path["rss_idle_mb"]
+        + slopes["host_bytes"].at(NODES) / 1e6
+        + slopes["site_bytes"].at(SITES) / 1e6
+        + slopes["block_bytes"].at(BLOCKS) / 1e6
+    )
+    list_bytes = NODES * HOST_ENTRY_BYTES / HOST_LIST_S
+    loads_s = REGIONS / LOAD_PAUSE_S
+    plan = slopes["plan_step_us"].at(REGIONS) + loads_s * beat_us
+    announce = CHANGES_S * NEAR * beat_bytes
+    pushes = change_bytes * NEAR / 2
+    rows = [
+        (
+            "ordinary host",
+            base + ordinary * beat_us,
+            ordinary * beat_bytes + announce,
+        ),
+        (
+            "relay of a failure domain and region",
+            base + relay * beat_us,
+            relay * beat_bytes + announce + pushes,
+        ),
+        (
+            "the same, with today's whole host list",
+            base + relay * beat_us + slopes["host_list_us"].at(NODES) / HOST_LIST_S,
+            relay * beat_bytes + announce + pushes + list_bytes,
+        ),
+        (
+            "ordinary host that plans one service",
+            base + ordinary * beat_us + plan,
+            ordinary * beat_bytes + announce + loads_s * (60 + PACKET_BYTES),
+        ),
+    ]
+    lines = [
+        f"| node | % of a core (limit {CORE_LIMIT}) | bytes/s (limit {BYTES_LIMIT}) "
+        f"| MB (limit {MEMORY_LIMIT_MB}) | within |",
+        "|---|---|---|---|---|",
+    ]
+    for name, micros, sent, *_ in rows:
+        fits = micros / 1e4 <= CORE_LIMIT and sent <= BYTES_LIMIT
+        fits = fits and memory <= MEMORY_LIMIT_MB
+        verdict = "yes" if fits else "**no**"
+        lines.append(
+            f"| {name} | {micros / 1e4:.2f} | {sent:.0f} | {memory:.0f} | {verdict} |"
+        )
+    return "\n".join(lines)
+
+
+def platform_table(_measured: Measured) -> str:
+    """Return the platform's calls a second at the target."""
+    report_pause = max(0.25, 0.01 * DOMAINS)
+    burst = DOMAINS / report_pause
+    rows = [
+        ("watches that end by a change", RELAYS * CHANGES_S, "reads"),
+        ("watches that time out", RELAYS / WATCH_WAIT_S, "reads"),
+        ("host list", RELAYS / HOST_LIST_S, "reads"),
+        ("reports, nothing changing", DOMAINS / REPORT_S, "writes"),
+        ("reports, changes without pause (bound)", burst, "writes"),
+        ("plans, every service in a shift", SERVICES * 1.0, "writes"),
+        ("operators' changes", CHANGES_S, "writes"),
+    ]
+    lines = ["| call | a second | kind |", "|---|---|---|"]
+    for name, rate, kind in rows:
+        lines.append(f"| {name} | {rate:.1f} | {kind} |")
+    reads = sum(rate for _, rate, kind in rows if kind == "reads")
+    writes = sum(rate for _, rate, kind in rows if kind == "writes")
+    lines.append(f"| **all reads** (about 2,000 are given) | {reads:.0f} | |")
+    lines.append(f"| **all writes** (several hundred are given) | {writes:.0f} | |")
+    lines.append(f"| waiting watches | {RELAYS} | held |")
+    return "\n".join(lines)
+
+
+def replacement_table(measured: Measured) -> str:
+    """Return what a replaced node needs before it serves."""
+    slopes = measured.slopes
+    blocks = slopes["block_bytes"].at(BLOCKS)
+    sites = slopes["site_stored_bytes"].at(SITES)
+    plans = SERVICES * slopes["plan_bytes"].at(REGIONS)
+    hosts = NODES * HOST_ENTRY_BYTES
+    total = blocks + sites + plans + hosts
+    parse_s = (
+        slopes["block_build_us"].at(BLOCKS)
+        + slopes["site_parse_us"].at(SITES)
+        + slopes["host_list_us"].at(NODES)
+    ) / 1e6
+    lines = ["| part of a snapshot | KB |", "|---|---|"]
+    for name, size in (
+        ("blocks, packed", blocks),
+        ("sites, JSON", sites),
+        ("plans, runs", plans),
+        ("hosts", hosts),
+        ("**all**", total),
+    ):
+        lines.append(f"| {name} | {size / 1e3:.0f} |")
+    mean = 740 / 86_400 * total
+    lines.append("")
+    lines.append(
+        f"Reading it takes {parse_s:.1f} s of processor time. 740 replacements a day "
+        f"move {mean / 1e3:.1f} KB/s over the whole fleet; a failure domain of {NEAR} "
+        f"hosts at once moves {NEAR * total / 1e6:.0f} MB."
+    )
+    return "\n".join(lines)
+
+
+TABLES = {
+    "slopes": slopes_table,
+    "path": path_table,
+    "roles": roles_table,
+    "node": node_table,
+    "platform": platform_table,
+    "replacement": replacement_table,
+}
+
+
+def fill(text: str, measured: Measured) -> str:
+    """Return the page with every table computed anew."""
+    for name, make in TABLES.items():
+        block = f"<!-- table:{name} -->\n{make(measured)}\n<!-- end -->"
+        pattern = rf"<!-- table:{name} -->.*?<!-- end -->"
+        text, count = re.subn(pattern, lambda _m, b=block: b, text, flags=re.DOTALL)
+        assert count == 1, name
+    return text
+
+
+def main() -> None:
+    """Rewrite the page."""
+    PAGE.write_text(fill(PAGE.read_text(), load()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,100 @@
+"""Our load tool: closed-loop raw HTTP connections, cheap for the sender."""
+
+import asyncio
+import time
+from collections.abc import Sequence
+
+from hdrh.histogram import HdrHistogram
+
+HIST_TOP_US = 60_000_000
+
+
+class RawLoop(asyncio.Protocol):
+    """Sends prepared requests one after the other on one connection.
+
+    Responses must have a Content-Length; nothing else is parsed.
+    """
+
+    def __init__(self, payloads: Sequence[bytes], hist: HdrHistogram) -> None:
+        self._payloads = payloads
+        self._hist = hist
+        self._next = 0
+        self._buffer = b""
+        self._sent_at = 0.0
+        self._transport: asyncio.Transport | None = None
+        self.done = 0
+        self.bad = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._send()
+
+    def _send(self) -> None:
+        payload = self._payloads[self._next % len(self._payloads)]
+        self._next += 1
+        self._sent_at = time.perf_counter()
+        self._transport.write(payload)
+
+    def data_received(self, data: bytes) -> None:
+        self._buffer += data
+        head, gap, body = self._buffer.partition(b"\r\n\r\n")
+        if not gap:
+            return
+        length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+        if len(body) < length:
+            return
+        elapsed = int((time.perf_counter() - self._sent_at) * 1e6)
+        self._hist.record_value(max(1, elapsed))
+        self._buffer = b""
+        self.done += 1
+        if not head.startswith(b"HTTP/1.1 200"):
+            self.bad += 1
+        self._send()
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class LoadResult:
+    """Figures of one load run."""
+
+    def __init__(self, done: int, bad: int, seconds: float, hist: HdrHistogram):
+        self.done = done
+        self.bad = bad
+        self.seconds = seconds
+        self.hist = hist
+
+    def percentile_us(self, pct: float) -> int:
+        return self.hist.get_value_at_percentile(pct)
+
+
+async def closed_loop(
+    address: str, payloads: Sequence[bytes], connections: int, seconds: float
+) -> LoadResult:
+    """Run `connections` loops against `address` for `seconds`."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    hist = HdrHistogram(1, HIST_TOP_US, 3)
+    protocols = []
+    for num in range(connections):
+        mine = payloads[num::connections] or payloads
+        _, protocol = await loop.create_connection(
+            lambda mine=mine: RawLoop(mine, hist), host, int(port)
+        )
+        protocols.append(protocol)
+    started = time.perf_counter()
+    await asyncio.sleep(seconds)
+    elapsed = time.perf_counter() - started
+    for protocol in protocols:
+        protocol.close()
+    done = sum(protocol.done for protocol in protocols)
+    bad = sum(protocol.bad for protocol in protocols)
+    return LoadResult(done, bad, elapsed, hist)
+
+
+def get_request(target: str, headers: Sequence[tuple[str, str]] = ()) -> bytes:
+    """Return the bytes of a GET."""
+    lines = [f"GET {target} HTTP/1.1", "Host: bench"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,160 @@
+"""Cost of the path: look-ups, added latency, requests a second and core."""
+
+import asyncio
+
+import h11
+
+from lacewingcross.deployments import Deployment, Ports, ServiceShape, lay_out
+from lacewingcross.embedded import free_ports
+
+from .load import closed_loop, get_request
+from .processes import BenchProcesses
+
+SECONDS = 4.0
+LOOKUP_CALLERS = 4000
+FAST = Deployment(
+    "path",
+    ("one",),
+    1,
+    (ServiceShape("booking", 2, 64, 400, 0.0, 5_000),),
+    0.0,
+    10,
+)
+
+
+class BareServer(asyncio.Protocol):
+    """The naive baseline: a bare h11 server that answers each look-up afresh."""
+
+    BODY = b'{"hosts":[{"id":"h","address":"127.0.0.1:1","region":"r"}],"ttl_s":30}'
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._conn = h11.Connection(h11.SERVER)
+
+    def data_received(self, data: bytes) -> None:
+        self._conn.receive_data(data)
+        while True:
+            event = self._conn.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.EndOfMessage):
+                self._answer()
+
+    def _answer(self) -> None:
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(self.BODY)).encode()),
+        ]
+        conn = self._conn
+        out = conn.send(h11.Response(status_code=200, headers=headers))
+        out += conn.send(h11.Data(data=self.BODY))
+        out += conn.send(h11.EndOfMessage())
+        self._transport.write(out)
+        conn.start_next_cycle()
+
+
+def _lookups() -> list[bytes]:
+    return [
+        get_request(f"/v1/lookup?service=booking&address=10.1.{n // 250}.{n % 250}")
+        for n in range(LOOKUP_CALLERS)
+    ]
+
+
+async def measure_path() -> dict[str, float]:
+    """Return the figures of the path, baselines measured in the same run."""
+    layout = lay_out(FAST, Ports(free_ports()), log_level="ERROR")
+    async with BenchProcesses(layout) as procs:
+        host = layout.hosts[0]
+        idle = procs.rss_bytes("host-1")
+        result = await _lookup_cost(procs, host.entry)
+        result["rss_idle_mb"] = idle / 1e6
+        grown = procs.rss_bytes("host-1") - idle
+        result["rss_each_caller_bytes"] = max(0, grown) / LOOKUP_CALLERS
+        result.update(await _request_cost(procs, host.entry))
+    result["bare_h11_us"] = await _bare_cost()
+    result["lookup_over_bare"] = result["lookup_cpu_us"] / result["bare_h11_us"]
+    return result
+
+
+async def _lookup_cost(procs: BenchProcesses, entry: str) -> dict[str, float]:
+    first = await _cpu_per_call(procs, entry, _lookups(), 1.0)
+    again = await _cpu_per_call(procs, entry, _lookups(), SECONDS)
+    return {
+        "lookup_first_cpu_us": first[0],
+        "lookup_cpu_us": again[0],
+        "lookups_per_core_s": 1e6 / again[0],
+    }
+
+
+async def _cpu_per_call(
+    procs: BenchProcesses, entry: str, payloads: list[bytes], seconds: float
+) -> tuple[float, float]:
+    before = procs.cpu_s("host-1")
+    load = await closed_loop(entry, payloads, 16, seconds)
+    used = procs.cpu_s("host-1") - before
+    assert load.bad == 0, load.bad
+    return used / load.done * 1e6, load.percentile_us(50)
+
+
+async def _request_cost(procs: BenchProcesses, entry: str) -> dict[str, float]:
+    headers = [("X-Client-Address", "10.1.0.1"), ("X-Caller-Id", "bench")]
+    request = [get_request("/booking/x", headers)]
+    backend = procs.layout.backends[0].listen
+    direct = await closed_loop(backend, request, 1, SECONDS)
+    before = procs.cpu_s("host-1")
+    through = await closed_loop(entry, request, 1, SECONDS)
+    used = procs.cpu_s("host-1") - before
+    assert through.bad == 0, through.bad
+    return {
+        "direct_p50_us": direct.percentile_us(50),
+        "direct_p99_us": direct.percentile_us(99),
+        "through_p50_us": through.percentile_us(50),
+        "through_p99_us": through.percentile_us(99),
+        "added_p50_us": through.percentile_us(50) - direct.percentile_us(50),
+        "added_p99_us": through.percentile_us(99) - direct.percentile_us(99),
+        "request_cpu_us": used / through.done * 1e6,
+        "requests_per_core_s": through.done / used,
+    }
+
+
+async def _bare_cost() -> float:
+    """Return microseconds of processor time a look-up on the bare server.
+
+    Both sides run in this process; the sender's share is measured against a
+    server that answers without parsing, and taken off.
+    """
+    with_h11 = await _in_process(BareServer)
+    without = await _in_process(EchoServer)
+    return with_h11 - without + without / 2
+
+
+class EchoServer(asyncio.Protocol):
+    """Answers anything with the same bytes; shows what the sender costs."""
+
+    REPLY = (
+        b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(BareServer.BODY)
+    ) + BareServer.BODY
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self._transport.write(self.REPLY)
+
+
+async def _in_process(factory: type[asyncio.Protocol]) -> float:
+    import time
+
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(factory, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    before = time.process_time()
+    load = await closed_loop(f"127.0.0.1:{port}", _lookups()[:64], 16, 2.0)
+    used = time.process_time() - before
+    server.close()
+    return used / load.done * 1e6
+
+
+if __name__ == "__main__":
+    for name, value in asyncio.run(measure_path()).items():
+        print(f"{name} {value:.1f}")
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,100 @@
+"""Processes of a bench: started from a layout, CPU and memory read from /proc."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from dataclasses import asdict
+from pathlib import Path
+
+from lacewingcross.deployments import Layout
+from lacewingcross.http1_client import HttpClient, HttpError
+from lacewingcross.operations import Operator, read_documents
+from lacewingcross.platform_client import PlatformClient
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+WAIT_S = 60.0
+
+
+class BenchProcesses:
+    """A layout as real processes."""
+
+    def __init__(self, layout: Layout) -> None:
+        self.layout = layout
+        self.operator = Operator(PlatformClient(layout.platform.listen, writer="bench"))
+        self._dir = tempfile.TemporaryDirectory()
+        self._procs: dict[str, subprocess.Popen] = {}
+
+    async def __aenter__(self) -> "BenchProcesses":
+        self.start("platform", ["standin", "platform"], self.layout.platform)
+        for cfg in self.layout.backends:
+            self.start(cfg.server_id, ["standin", "backend"], cfg)
+        for cfg in self.layout.hosts:
+            self.start(cfg.host_id, ["host"], cfg)
+        await self._ready()
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        for proc in self._procs.values():
+            proc.send_signal(signal.SIGCONT)
+            proc.kill()
+            proc.wait()
+        self._dir.cleanup()
+        self.operator.platform.close()
+
+    def start(self, name: str, words: list[str], cfg: object) -> None:
+        path = Path(self._dir.name) / f"{name}.json"
+        data = {key: value for key, value in asdict(cfg).items() if key != "tls"}
+        path.write_text(json.dumps(data))
+        self._procs[name] = subprocess.Popen(
+            [sys.executable, "-m", "lacewingcross", *words, "--cfg", str(path)],
+            stderr=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+        )
+
+    def kill(self, name: str) -> None:
+        proc = self._procs.pop(name)
+        proc.kill()
+        proc.wait()
+
+    async def _ready(self) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while await fetch(self.layout.platform.listen, "/v1/hosts") is None:
+                await asyncio.sleep(0.1)
+            newest = 0
+            for document in read_documents(self.layout.resources, "layout"):
+                newest = max(newest, (await self.operator.apply(document)).version)
+            await self.operator.wait_in_force(newest, WAIT_S)
+            for cfg in self.layout.hosts:
+                while not await self._planned(cfg.operators):
+                    await asyncio.sleep(0.1)
+
+    async def _planned(self, operators: str) -> bool:
+        status = await fetch(operators, "/status")
+        return bool(status) and bool(status["plans"])
+
+    def cpu_s(self, name: str) -> float:
+        """Return user and system time of a process so far, in seconds."""
+        pid = self._procs[name].pid
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+    def rss_bytes(self, name: str) -> int:
+        """Return the resident size of a process."""
+        pid = self._procs[name].pid
+        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+async def fetch(address: str, target: str) -> dict | None:
+    """Return the JSON answer of a GET, or None."""
+    client = HttpClient(address)
+    try:
+        return json.loads((await client.request("GET", target)).body)
+    except (HttpError, ValueError):
+        return None
+    finally:
+        client.close()
--- a/lacewingcross/core/keeper.py
+++ b/lacewingcross/core/keeper.py
@@ -169,6 +169,11 @@
             now,
             frozenset(ask.exclude),
         )
+        if self._grants_at_once(now):
+            server = self.servers.pick(now, item.exclude)
+            if server is not None:
+                yield self._grant(item, server.declared.server_id, now)
+                return
         reason = self._refusal(item, ask.remaining_s, now)
         if reason:
             yield self._denied(item, reason, now)
@@ -176,6 +181,10 @@
         self.queue.append(item)
         yield from self.dispatch(now)
 
+    def _grants_at_once(self, now: float) -> bool:
+        free = not self.queue and len(self.permits) < self.limit
+        return free and not self.recovering(now)
+
     def _forget_earlier(self, host_id: str, request_id: str) -> bool:
         """Drop what an earlier ask for the same request left behind.
 
--- a/lacewingcross/core/keeping.py
+++ b/lacewingcross/core/keeping.py
@@ -9,6 +9,7 @@
 from .view import View
 
 LOAD_REPORT_S = 0.5
+EACH_REGION_S = 0.03
 
 KeeperKey = tuple[str, str]
 
@@ -39,7 +40,10 @@
         own = view.own.host_id
         wanted: set[KeeperKey] = set()
         for service, pool in view.config.pools.items():
-            for region in pool.regions():
+            for region in pool.by_region:
+                away = region != view.own.region
+                if away and view.members.live(now, region):
+                    continue
                 if view.keeper_of(service, region, now) == own:
                     wanted.add((service, region))
         for key in [key for key in self.keepers if key not in wanted]:
@@ -129,11 +133,21 @@
             if state.leaving
         ]
 
+    def _report_pause(self) -> float:
+        """Return the time between load reports, longer with more regions.
+
+        All keepers of a service report to one planner; its share of the control
+        bytes bounds how many reports a second it can take.
+        """
+        pools = self._view.config.pools.values()
+        regions = max((len(pool.by_region) for pool in pools), default=0)
+        return max(LOAD_REPORT_S, EACH_REGION_S * regions)
+
     def tick(self, now: float) -> Iterator[Action]:
         """Run every keeper's clock and report loads to the planners."""
         for keeper in self.keepers.values():
             yield from self._send(keeper.tick(now))
-        if now - self._reported_at < LOAD_REPORT_S:
+        if now - self._reported_at < self._report_pause():
             return
         self._reported_at = now
         for (service, _), keeper in self.keepers.items():
--- a/lacewingcross/core/membership.py
+++ b/lacewingcross/core/membership.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass, field
 
 from .messages import Heartbeat
+from .neighbours import SMALL_BEAT_S, Place, neighbours
 
-HEARTBEAT_S = 0.4
-SUSPECT_S = 1.5
+SUSPECT_BEATS = 3.75
 LIST_GRACE_S = 3.0
+RETRUST_S = 5.0
 
 LIVE = "live"
 LEAVING = "leaving"
@@ -40,7 +41,11 @@
     leaving: list[tuple[str, int]] = field(default_factory=list)
     connected: bool = False
     broken: bool = False
+    broken_at: float = float("-inf")
     drained: bool = False
+    beat_s: float = SMALL_BEAT_S
+    neighbour: bool = True
+    next_beat: float = float("-inf")
 
 
 class Membership:
@@ -56,13 +61,25 @@
         This host, always a member.
     """
 
-    __slots__ = ("_states", "own", "own_state")
+    __slots__ = ("_drained", "_kept", "_own_state", "_states", "own")
 
     def __init__(self, own: HostInfo) -> None:
         self.own = own
-        self.own_state = LIVE
+        self._own_state = LIVE
+        self._kept: _Groups | None = None
+        self._drained: set[str] = set()
         self._states: dict[str, HostState] = {}
 
+    @property
+    def own_state(self) -> str:
+        """Return whether this host is live or leaving."""
+        return self._own_state
+
+    def leave(self) -> None:
+        """Start to leave; there is no way back."""
+        self._own_state = LEAVING
+        self._kept = None
+
     def on_list(self, hosts: list[HostInfo], now: float) -> list[str]:
         """Take over the platform's list; return the ids that vanished from it.
 
@@ -74,7 +91,7 @@
         for host_id, info in listed.items():
             state = self._states.get(host_id)
             if state is None:
-                self._states[host_id] = HostState(info, now)
+                self._states[host_id] = self._new(info, now)
             else:
                 state.info = info
         vanished = [
@@ -84,13 +101,38 @@
         ]
         for host_id in vanished:
             del self._states[host_id]
+        self._choose_neighbours()
+        self._kept = None
         return vanished
 
+    def _new(self, info: HostInfo, now: float) -> HostState:
+        return HostState(info, now, drained=info.host_id in self._drained)
+
+    def _choose_neighbours(self) -> None:
+        own = _place(self.own)
+        chosen = neighbours(own, (_place(st.info) for st in self._states.values()))
+        for host_id, state in self._states.items():
+            state.neighbour = host_id in chosen
+            state.beat_s = chosen.get(host_id, state.beat_s)
+
+    def due_beats(self, now: float, *, all_now: bool) -> list[HostState]:
+        """Return the neighbours whose next heartbeat is due, and plan the next."""
+        due = [
+            state
+            for state in self._states.values()
+            if state.neighbour and (all_now or now >= state.next_beat)
+        ]
+        for state in due:
+            state.next_beat = now + state.beat_s
+        return due
+
     def on_heartbeat(self, host_id: str, beat: Heartbeat, now: float) -> None:
         """Note a sign of life."""
         state = self._states.get(host_id)
         if state is None:
             return
+        if state.said != beat.state or not self._heard(state, now):
+            self._kept = None
         state.last_heartbeat = now
         state.said = beat.state
         state.revision = beat.revision
@@ -103,6 +145,7 @@
         if info.host_id == self.own.host_id:
             return
         self.learn([info], now)
+        self._kept = None
         state = self._states[info.host_id]
         if incarnation != state.incarnation:
             state.info = info
@@ -114,24 +157,48 @@
 
     def learn(self, hosts: list[HostInfo], now: float) -> None:
         """Add hosts that a peer knows, when the platform cannot be asked."""
+        known = len(self._states)
         for info in hosts:
             if info.host_id != self.own.host_id and info.host_id not in self._states:
-                self._states[info.host_id] = HostState(info, now)
+                self._states[info.host_id] = self._new(info, now)
+        if len(self._states) != known:
+            self._choose_neighbours()
+            self._kept = None
 
-    def on_broken(self, host_id: str) -> None:
+    def on_broken(self, host_id: str, now: float) -> None:
         """Note that the last connection to a host broke or was refused."""
         state = self._states.get(host_id)
         if state is not None:
             state.connected = False
             state.broken = True
+            state.broken_at = now
+            self._kept = None
 
     def set_drained(self, host_ids: set[str]) -> None:
         """Take over which hosts operators drain."""
-        for host_id, state in self._states.items():
-            state.drained = host_id in host_ids
+        for host_id in host_ids ^ self._drained:
+            state = self._states.get(host_id)
+            if state is not None:
+                state.drained = host_id in host_ids
+                self._kept = None
+        self._drained = set(host_ids)
 
     def _heard(self, state: HostState, now: float) -> bool:
-        return not state.broken and now - state.last_heartbeat <= SUSPECT_S
+        silence = now - state.last_heartbeat
+        return not state.broken and silence <= SUSPECT_BEATS * state.beat_s
+
+    def _trusted(self, state: HostState, now: float) -> bool:
+        """Tell whether the list is believed about a host that is not heard.
+
+        Hosts that are no neighbours send no heartbeats; a neighbour that was never
+        heard may just be starting.
+        """
+        if not state.neighbour:
+            return not state.broken or now - state.broken_at > RETRUST_S
+        if state.broken:
+            return False
+        never_heard = state.last_heartbeat == float("-inf")
+        return never_heard and now - state.first_seen <= LIST_GRACE_S
 
     def silence(self, host_id: str, now: float) -> float:
         """Return the seconds since a host was last heard; 0 for this host."""
@@ -149,9 +216,7 @@
         state = self._states.get(host_id)
         if state is None:
             return DOWN
-        never_heard = state.last_heartbeat == float("-inf")
-        in_grace = now - state.first_seen <= LIST_GRACE_S and not state.broken
-        if not self._heard(state, now) and not (never_heard and in_grace):
+        if not self._heard(state, now) and not self._trusted(state, now):
             return DOWN
         if LEAVING in (state.said, state.info.listed) or state.drained:
             return LEAVING
@@ -174,12 +239,63 @@
         state = self._states.get(host_id)
         return state.info if state else None
 
-    def in_state(self, wanted: str, now: float) -> list[HostInfo]:
-        """Return the members in state `wanted`."""
-        hosts = self.hosts()
-        return [info for info in hosts if self.state_of(info.host_id, now) == wanted]
+    def _groups(self, now: float) -> "_Groups":
+        """Return the members by state, kept until a state can have changed.
+
+        Every request asks for live hosts; walking thousands of states each time
+        would cost more than the request.
+        """
+        kept = self._kept
+        if kept is None or now >= kept.valid_until or now < kept.made_at:
+            kept = _Groups(now)
+            for info in self.hosts():
+                kept.add(info, self.state_of(info.host_id, now))
+            for state in self._states.values():
+                if state.neighbour or state.broken:
+                    turn = self._next_turn(state, now)
+                    kept.valid_until = min(kept.valid_until, turn)
+            self._kept = kept
+        return kept
+
+    def _next_turn(self, state: HostState, now: float) -> float:
+        """Return when time alone could change a host's state."""
+        turns = (
+            state.last_heartbeat + SUSPECT_BEATS * state.beat_s,
+            state.first_seen + LIST_GRACE_S,
+            state.broken_at + RETRUST_S,
+        )
+        return min((turn for turn in turns if turn > now), default=float("inf"))
 
     def live(self, now: float, region: str | None = None) -> list[HostInfo]:
         """Return the live members, of one region if given."""
-        live = self.in_state(LIVE, now)
-        return [info for info in live if region in (None, info.region)]
+        groups = self._groups(now)
+        return groups.live if region is None else groups.by_region.get(region, [])
+
+    def leaving(self, now: float) -> list[HostInfo]:
+        """Return the members that are leaving."""
+        return self._groups(now).leaving
+
+
+class _Groups:
+    """Members by state at one moment."""
+
+    __slots__ = ("by_region", "leaving", "live", "made_at", "valid_until")
+
+    def __init__(self, now: float) -> None:
+        self.made_at = now
+        self.valid_until = float("inf")
+        self.live: list[HostInfo] = []
+        self.leaving: list[HostInfo] = []
+        self.by_region: dict[str, list[HostInfo]] = {}
+
+    def add(self, info: HostInfo, state: str) -> None:
+        """Put a member in its place."""
+        if state == LIVE:
+            self.live.append(info)
+            self.by_region.setdefault(info.region, []).append(info)
+        elif state == LEAVING:
+            self.leaving.append(info)
+
+
+def _place(info: HostInfo) -> Place:
+    return Place(info.host_id, info.region, info.failure_domain)
--- /dev/null
+++ b/lacewingcross/core/neighbours.py
@@ -0,0 +1,81 @@
+"""Which hosts exchange heartbeats, so that their number stays small at any size."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from .rendezvous import ranked
+
+FULL_MESH_MAX = 64
+SMALL_BEAT_S = 0.4
+NEAR_BEAT_S = 1.0
+FAR_BEAT_S = 5.0
+RELAYS = 2
+
+
+class Place:
+    """Where a host is; all that decides on its neighbours."""
+
+    __slots__ = ("failure_domain", "host_id", "region")
+
+    def __init__(self, host_id: str, region: str, failure_domain: str) -> None:
+        self.host_id = host_id
+        self.region = region
+        self.failure_domain = failure_domain
+
+
+def relays(key: str, host_ids: Iterable[str]) -> list[str]:
+    """Return the hosts that speak for a failure domain or a region."""
+    return ranked(f"relay/{key}", host_ids)[:RELAYS]
+
+
+def neighbours(own: Place, places: Iterable[Place]) -> dict[str, float]:
+    """Return the hosts to send heartbeats to, and how often, in seconds.
+
+    In a small fleet everybody beats everybody. In a large one a host beats its own
+    failure domain; relays of failure domains beat each other within a region, and
+    relays of regions beat each other over all regions. The rule is symmetric: both
+    sides come to the same result from the same list.
+
+    Parameters
+    ----------
+    own : Place
+        This host.
+    places : iterable of Place
+        All hosts, with or without this one.
+
+    Returns
+    -------
+    intervals : dict of str to float
+        Seconds between heartbeats for each neighbour.
+    """
+    others = [place for place in places if place.host_id != own.host_id]
+    if len(others) < FULL_MESH_MAX:
+        return {place.host_id: SMALL_BEAT_S for place in others}
+    result = {
+        place.host_id: NEAR_BEAT_S
+        for place in others
+        if place.failure_domain == own.failure_domain
+    }
+    domains: dict[tuple[str, str], list[str]] = defaultdict(list)
+    regions: dict[str, list[str]] = defaultdict(list)
+    for place in [own, *others]:
+        domains[place.region, place.failure_domain].append(place.host_id)
+        regions[place.region].append(place.host_id)
+    if own.host_id in relays(own.failure_domain, domains[_domain(own)]):
+        for (region, domain), host_ids in domains.items():
+            if region == own.region:
+                _add(result, own, relays(domain, host_ids))
+    if own.host_id in relays(own.region, regions[own.region]):
+        for region, host_ids in regions.items():
+            _add(result, own, relays(region, host_ids))
+    return result
+
+
+def _domain(place: Place) -> tuple[str, str]:
+    return place.region, place.failure_domain
+
+
+def _add(result: dict[str, float], own: Place, host_ids: list[str]) -> None:
+    for host_id in host_ids:
+        if host_id != own.host_id:
+            result.setdefault(host_id, FAR_BEAT_S)
--- a/lacewingcross/core/node.py
+++ b/lacewingcross/core/node.py
@@ -26,7 +26,7 @@
 from .keeper import KeeperPolicy
 from .keeping import KeeperSet
 from .lookup import LookupAnswer, LookupRefusal, answer
-from .membership import HEARTBEAT_S, LEAVING, HostInfo, Membership
+from .membership import LEAVING, HostInfo, Membership
 from .planning import PlannerSet
 from .reports import Reporter
 from .requests import RequestTable
@@ -35,6 +35,7 @@
 from .view import View
 
 PULL_S = 0.3
+REVIEW_S = 0.4
 _KEEPER_MESSAGES = (
     msg.Acquire,
     msg.Release,
@@ -160,9 +161,9 @@
     def _tick(self, _event: Tick, now: float) -> Iterator[Action]:
         self._follow_plans(now)
         self._note_membership(now)
-        if now - self._beat_at >= HEARTBEAT_S:
+        if now - self._beat_at >= REVIEW_S:
             self._beat_at = now
-            yield from self._heartbeats(now)
+            yield from self._heartbeats(now, all_now=False)
             self._changed = True
         if self._changed:
             self._changed = False
@@ -172,8 +173,11 @@
         yield from self.planners.tick(now)
         yield from self.reporter.tick(now)
 
-    def _heartbeats(self, now: float) -> Iterator[Action]:
+    def _heartbeats(self, now: float, *, all_now: bool) -> Iterator[Action]:
         view = self.view
+        due = view.members.due_beats(now, all_now=all_now)
+        if not due:
+            return
         behind = sum(plan.behind() for plan in view.plans.values())
         beat = msg.Heartbeat(
             view.members.own_state,
@@ -181,7 +185,7 @@
             behind,
             self.keepers.leaving(),
         )
-        for state in view.members.others():
+        for state in due:
             yield SendPeer(state.info.host_id, beat)
 
     def _follow_plans(self, now: float) -> None:
@@ -201,7 +205,7 @@
         yield SendPeer(event.info.host_id, msg.Members(known))
 
     def _broken(self, event: PeerBroken, now: float) -> Iterator[Action]:
-        self.view.members.on_broken(event.host_id)
+        self.view.members.on_broken(event.host_id, now)
         self._changed = True
         yield from self.keepers.host_down(event.host_id, now)
         yield from self.requests.tick(now)
@@ -284,7 +288,7 @@
         self.epoch += 1
         self._apply_host_drains()
         yield from self.keepers.review(now)
-        yield from self._heartbeats(now)
+        yield from self._heartbeats(now, all_now=True)
         yield from self.reporter.tick(now)
 
     def _apply_host_drains(self) -> None:
@@ -292,7 +296,7 @@
         drained = self.view.config.drained_hosts()
         members.set_drained(drained)
         if members.own.host_id in drained:
-            members.own_state = LEAVING
+            members.leave()
 
     def _adopt_plan(self, service: str, now: float) -> None:
         plan = self.view.config.plans.get(service)
@@ -311,7 +315,7 @@
         own = members.own.host_id
         listed = {info.host_id: info.listed for info in event.hosts}
         if listed.get(own) == LEAVING:
-            members.own_state = LEAVING
+            members.leave()
         if event.leaving_servers != self.view.listed_leaving:
             self.view.listed_leaving = event.leaving_servers
             yield Log("servers-leaving", {"listed": ",".join(event.leaving_servers)})
@@ -359,9 +363,9 @@
         )
 
     def _shutdown(self, _event: ShutdownAsked, now: float) -> Iterator[Action]:
-        self.view.members.own_state = LEAVING
+        self.view.members.leave()
         yield Log("host-leaving", {"requests": len(self.requests.requests)})
-        yield from self._heartbeats(now)
+        yield from self._heartbeats(now, all_now=True)
         yield from self.keepers.review(now)
 
 
--- a/lacewingcross/core/planner.py
+++ b/lacewingcross/core/planner.py
@@ -15,7 +15,7 @@
 )
 from .resources import BackendPool, ClientGroup, ShiftCap, SteeringPolicy
 
-FRESH_S = 3.0
+FRESH_S = 4.0
 HOT_PART = 0.95
 COOL_PART = 0.7
 RETURN_PART = 0.6
@@ -152,7 +152,11 @@
                 tables[group.name] = self._initial_table(group, given)
                 causes.add("new-group")
                 continue
-            target, cause = self._target(group, table, given, now)
+            have = Counter(table)
+            target, cause = self._target(group, have, given, now)
+            if target == have:
+                tables[group.name] = table
+                continue
             target = self._within_room(table, target, room)
             budget = self.budget(moves, given.cap, group.name)
             new_table, count = move_towards(table, target, budget)
@@ -207,10 +211,9 @@
         return Counter({fallback: BUCKETS})
 
     def _target(
-        self, group: ClientGroup, table: list[str], given: PlannerInput, now: float
+        self, group: ClientGroup, have: Counter[str], given: PlannerInput, now: float
     ) -> tuple[Counter[str], str]:
         """Return the counts to move towards, and the cause."""
-        have = Counter(table)
         avoid = given.drained | given.lost
         base = self._base_counts(group, given, avoid)
         if avoid & set(have):
--- a/lacewingcross/core/planning.py
+++ b/lacewingcross/core/planning.py
@@ -10,7 +10,7 @@
 from .resources import PLAN, object_key
 from .view import View
 
-STEP_S = 0.5
+STEP_S = 1.0
 WRITE_PATIENCE_S = 10.0
 CALL_BASE = 1 << 40
 
--- a/lacewingcross/core/reports.py
+++ b/lacewingcross/core/reports.py
@@ -11,6 +11,7 @@
 
 REPORT_KIND = "Report"
 CHANGED_S = 0.25
+EACH_DOMAIN_S = 0.01
 IDLE_S = 10.0
 CALL_BASE = 1 << 50
 
@@ -56,11 +57,13 @@
     def tick(self, now: float) -> Iterator[Action]:
         """Write when something changed, and now and then when nothing did."""
         own = self._view.own
-        if self._view.reporter_of(own.failure_domain, now) != own.host_id:
-            return
         waited = now - self._written_at
         if self._call or waited < CHANGED_S:
             return
+        if self._view.reporter_of(own.failure_domain, now) != own.host_id:
+            return
+        if waited < self._pause(now):
+            return
         spec = self._spec(now)
         if spec == self._last and waited < IDLE_S:
             return
@@ -73,6 +76,15 @@
         else:
             yield UpdateObject(self._call, key, spec, self._version)
 
+    def _pause(self, now: float) -> float:
+        """Return the shortest time between writes.
+
+        Every failure domain writes after every change, so the pause grows with
+        their number and all of them together stay within the platform's rate.
+        """
+        domains = {info.failure_domain for info in self._view.members.live(now)}
+        return max(CHANGED_S, EACH_DOMAIN_S * len(domains))
+
     def _spec(self, now: float) -> dict[str, object]:
         view = self._view
         leaving = list(self._keepers.leaving())
--- a/lacewingcross/core/resources.py
+++ b/lacewingcross/core/resources.py
@@ -73,15 +73,28 @@
     service: str
     servers: tuple[BackendServer, ...]
     region_limits: dict[str, float] = field(default_factory=dict)
+    by_id: dict[str, BackendServer] = field(init=False, repr=False, compare=False)
+    by_region: dict[str, list[BackendServer]] = field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        by_region: dict[str, list[BackendServer]] = {}
+        for server in self.servers:
+            by_region.setdefault(server.region, []).append(server)
+        ordered = {region: by_region[region] for region in sorted(by_region)}
+        object.__setattr__(self, "by_region", ordered)
+        by_id = {server.server_id: server for server in self.servers}
+        object.__setattr__(self, "by_id", by_id)
 
     def regions(self) -> list[str]:
         """Return the regions that have backend servers, sorted."""
-        return sorted({server.region for server in self.servers})
+        return list(self.by_region)
 
     def limit(self, region: str) -> float:
         """Return the most requests in flight that `region` may be given."""
-        slots = sum(srv.slots for srv in self.servers if srv.region == region)
-        return min(float(slots), self.region_limits.get(region, float(slots)))
+        slots = float(sum(srv.slots for srv in self.by_region.get(region, ())))
+        return min(slots, self.region_limits.get(region, slots))
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/view.py
+++ b/lacewingcross/core/view.py
@@ -5,13 +5,12 @@
 from dataclasses import dataclass, field
 
 from .config import Config
-from .membership import LEAVING, HostInfo, Membership
-from .rendezvous import owner, ranked
+from .membership import HostInfo, Membership
+from .neighbours import RELAYS, relays
+from .rendezvous import owner
 from .resources import BackendPool, BackendServer
 from .slew import EffectivePlan
 
-RELAYS = 2
-
 
 @dataclass(slots=True)
 class View:
@@ -39,7 +38,7 @@
         """
         candidates = self.members.live(now, region)
         if not candidates:
-            leaving = self.members.in_state(LEAVING, now)
+            leaving = self.members.leaving(now)
             candidates = [info for info in leaving if info.region == region]
         if not candidates:
             candidates = self.members.live(now) or [self.own]
@@ -69,8 +68,8 @@
         ids = [
             info.host_id for info in live if info.failure_domain == own.failure_domain
         ]
-        relays = ranked(f"relay/{own.failure_domain}", ids)[:RELAYS]
-        return own.host_id in relays or len(relays) < RELAYS
+        chosen = relays(own.failure_domain, ids)
+        return own.host_id in chosen or len(chosen) < RELAYS
 
     def leaving_servers(self, service: str) -> set[str]:
         """Return servers that leave by drain, by the list or by their own word."""
@@ -81,14 +80,9 @@
         """Yield the declared backend servers of a service in a region."""
         pool = self.config.pools.get(service)
         if pool is not None:
-            yield from (srv for srv in pool.servers if srv.region == region)
+            yield from pool.by_region.get(region, ())
 
     def server(self, service: str, server_id: str) -> BackendServer | None:
         """Return a declared backend server."""
         pool: BackendPool | None = self.config.pools.get(service)
-        if pool is None:
-            return None
-        for server in pool.servers:
-            if server.server_id == server_id:
-                return server
-        return None
+        return pool.by_id.get(server_id) if pool is not None else None
--- a/lacewingcross/host/mesh/links.py
+++ b/lacewingcross/host/mesh/links.py
@@ -214,8 +214,9 @@
 
     def _review(self) -> None:
         members = self.runtime.core.view.members
-        known = {state.info.host_id for state in members.others()}
-        for host_id in [host_id for host_id in self._links if host_id not in known]:
+        known = {st.info.host_id for st in members.others() if st.neighbour}
+        gone = [hid for hid in self._links if members.info(hid) is None]
+        for host_id in gone:
             self._links.pop(host_id).task.cancel()
         for host_id in known:
             if host_id not in self._links:
--- a/lacewingcross/host/platform/watch.py
+++ b/lacewingcross/host/platform/watch.py
@@ -15,6 +15,7 @@
 RETRY_MAX_S = 2.0
 FOLLOWER_REVIEW_S = 1.0
 HOST_LIST_S = 1.0
+EACH_HOST_S = 10.0 / 4_500
 
 
 class Backoff:
@@ -132,4 +133,5 @@
             backoff.reset()
             event = HostsListed(listing.hosts, listing.leaving_servers)
             self._runtime.dispatch(event)
-            await asyncio.sleep(HOST_LIST_S * view.rng.uniform(0.9, 1.1))
+            pause = max(HOST_LIST_S, EACH_HOST_S * len(listing.hosts))
+            await asyncio.sleep(pause * view.rng.uniform(0.9, 1.1))
--- a/lacewingcross/http1_client.py
+++ b/lacewingcross/http1_client.py
@@ -52,7 +52,7 @@
 class ClientConnection:
     """One connection to a server; carries one exchange at a time."""
 
-    __slots__ = ("_h11", "_reader", "_writer", "used_at")
+    __slots__ = ("_h11", "_held", "_reader", "_writer", "used_at")
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -60,6 +60,7 @@
         self._reader = reader
         self._writer = writer
         self._h11 = h11.Connection(h11.CLIENT)
+        self._held = b""
         self.used_at = 0.0
 
     @classmethod
@@ -83,8 +84,12 @@
         return self._reader.at_eof() or self._writer.is_closing()
 
     async def send_head(self, method: str, target: str, headers: hd.HeaderList) -> None:
-        """Write the head of a request."""
-        await self._send(h11.Request(method=method, target=target, headers=headers))
+        """Serialize the head of a request; it goes out with what comes next."""
+        try:
+            event = h11.Request(method=method, target=target, headers=headers)
+            self._held = self._h11.send(event) or b""
+        except h11.LocalProtocolError as exc:
+            raise HttpError(f"head: {exc!r}", sent=False) from exc
 
     async def send_body(self, data: bytes) -> None:
         """Write a part of the body, waiting while the server is slow."""
@@ -96,7 +101,8 @@
 
     async def _send(self, event: h11.Event) -> None:
         try:
-            data = self._h11.send(event)
+            data = self._held + (self._h11.send(event) or b"")
+            self._held = b""
             if data:
                 self._writer.write(data)
                 await self._writer.drain()
--- a/lacewingcross/http1_server.py
+++ b/lacewingcross/http1_server.py
@@ -169,6 +169,7 @@
         "_client",
         "_drain",
         "_h11",
+        "_held",
         "_reading_paused",
         "_server",
         "_task",
@@ -184,6 +185,7 @@
         self._client = ""
         self._drain: asyncio.Future[None] | None = None
         self._reading_paused = False
+        self._held = b""
         self._body_size = 0
         self._task: asyncio.Task[None] | None = None
         self.exchange: Exchange | None = None
@@ -339,10 +341,24 @@
     # Sending
 
     def send(self, event: h11.Event) -> None:
-        """Serialize one event of the response."""
+        """Serialize one event of the response.
+
+        A head waits for the end of the loop's turn, so that a body that is already
+        there goes out with it in one write.
+        """
         data = self._h11.send(event)
-        if data:
-            self.transport.write(data)
+        if isinstance(event, h11.Response):
+            self._held = data
+            asyncio.get_running_loop().call_soon(self._flush)
+        elif data or self._held:
+            held = self._held
+            self._held = b""
+            self.transport.write(held + data)
+
+    def _flush(self) -> None:
+        if self._held and not self.lost:
+            self.transport.write(self._held)
+        self._held = b""
 
     async def drained(self) -> None:
         """Wait until the caller has taken enough of what was written."""
