--- /dev/null
+++ b/bench/slots.py
@@ -0,0 +1,407 @@
+"""Ways of sharing few slots among many hosts, against each other.
+
+A queueing trial in virtual time of one region: the real slot keeper and admission,
+small models of hosts and backend servers around it. The same seed gives every way the
+same arrivals and service times.
+"""
+
+import heapq
+import json
+import multiprocessing
+import random
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from lacewingcross.core import messages as msg
+from lacewingcross.core.keeper import KeeperPolicy, SlotKeeper
+from lacewingcross.core.resources import BackendServer
+from lacewingcross.deployments import DEPLOYMENTS, ServiceShape
+
+RESULT = Path(__file__).parent / "results" / "slots.json"
+HOSTS = 4
+ONE_WAY_S = 0.0005
+REPORT_LAG_S = 0.25
+SECONDS = 20.0
+WARM_S = 2.0
+TICK_S = 0.02
+SURGE_PART = 0.1
+LOADS = (0.8, 1.0, 2.0, 5.0)
+
+
+@dataclass(slots=True)
+class Job:
+    """One request of the trial."""
+
+    number: int
+    arrived: float
+    service_s: float
+    deadline: float
+    host: int
+    done_at: float = 0.0
+    refused: str = ""
+
+
+@dataclass(slots=True)
+class Server:
+    """A backend server: slots, an own queue, a report of its load that lags."""
+
+    slots: int
+    busy: int = 0
+    queue: deque[Job] = field(default_factory=deque)
+    reported: int = 0
+    most_busy: int = 0
+
+
+class Trial:
+    """Virtual time, arrivals and servers shared by all ways."""
+
+    def __init__(self, shape: ServiceShape, load: float, seed: int, surge: bool):
+        rng = random.Random(f"{shape.name}/{load}/{seed}")
+        workers = max(1, shape.workers // 3)
+        self.shape = shape
+        self.servers = [Server(shape.slots) for _ in range(workers)]
+        self.capacity = workers * shape.slots / (shape.service_ms / 1000)
+        self.now = 0.0
+        self.shed = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self.jobs = list(self._arrivals(rng, load * self.capacity, surge))
+
+    def _arrivals(self, rng: random.Random, rate: float, surge: bool) -> Iterator[Job]:
+        """Yield Poisson arrivals, a part of them in the first second of a surge."""
+        mean = self.shape.service_ms / 1000
+        total = int(rate * SECONDS)
+        times = []
+        for _ in range(total):
+            if surge and rng.random() < SURGE_PART:
+                times.append(WARM_S + rng.random())
+            else:
+                times.append(rng.uniform(0, SECONDS))
+        for number, at in enumerate(sorted(times)):
+            yield Job(
+                number,
+                at,
+                rng.expovariate(1 / mean),
+                at + self.shape.deadline_ms / 1000,
+                rng.randrange(HOSTS),
+            )
+
+    def at(self, when: float, call: Callable[[], None]) -> None:
+        """Call later in virtual time."""
+        self._count += 1
+        heapq.heappush(self._events, (when, self._count, call))
+
+    def after(self, delay: float, call: Callable[[], None]) -> None:
+        """Call after a delay."""
+        self.at(self.now + delay, call)
+
+    def run(self) -> None:
+        """Run until nothing is left to happen or long after the last arrival."""
+        end = SECONDS + 60.0
+        while self._events and self._events[0][0] <= end:
+            self.now, _, call = heapq.heappop(self._events)
+            call()
+
+
+class Way:
+    """One way of sharing; subclasses say where a job goes."""
+
+    name = ""
+
+    def __init__(self, trial: Trial, seed: int) -> None:
+        self.trial = trial
+        self.rng = random.Random(seed)
+
+    def start(self) -> None:
+        """Schedule all arrivals."""
+        for job in self.trial.jobs:
+            self.trial.at(job.arrived, lambda job=job: self.arrive(job))
+
+    def arrive(self, job: Job) -> None:
+        raise NotImplementedError
+
+    def finished(self, job: Job, index: int) -> None:
+        """Note that a server is done with a job."""
+
+    def serve(self, job: Job, index: int) -> None:
+        """Take a slot of a server, or wait in the server's own queue."""
+        server = self.trial.servers[index]
+        if server.busy >= server.slots:
+            server.queue.append(job)
+            return
+        server.busy += 1
+        server.most_busy = max(server.most_busy, server.busy)
+        self.trial.after(job.service_s, lambda: self._end(job, index))
+
+    def _end(self, job: Job, index: int) -> None:
+        server = self.trial.servers[index]
+        server.busy -= 1
+        job.done_at = self.trial.now + ONE_WAY_S
+        self.finished(job, index)
+        if server.queue:
+            self.serve(server.queue.popleft(), index)
+
+
+class IdealQueue(Way):
+    """One queue that sees every slot at once, without any delay or refusal."""
+
+    name = "ideal joint queue"
+
+    def __init__(self, trial: Trial, seed: int) -> None:
+        super().__init__(trial, seed)
+        self._queue: deque[Job] = deque()
+
+    def arrive(self, job: Job) -> None:
+        self._queue.append(job)
+        self._dispatch()
+
+    def finished(self, job: Job, index: int) -> None:
+        self._dispatch()
+
+    def _dispatch(self) -> None:
+        for index, server in enumerate(self.trial.servers):
+            while self._queue and server.busy < server.slots:
+                self.serve(self._queue.popleft(), index)
+
+
+class ReportedLoad(Way):
+    """Naive: each host takes the better of two servers by reported load."""
+
+    name = "local choice on reported load"
+
+    def start(self) -> None:
+        super().start()
+        self._report()
+
+    def _report(self) -> None:
+        for server in self.trial.servers:
+            server.reported = server.busy + len(server.queue)
+        if self.trial.now < SECONDS + 5:
+            self.trial.after(REPORT_LAG_S, self._report)
+
+    def arrive(self, job: Job) -> None:
+        servers = self.trial.servers
+        first, second = (self.rng.randrange(len(servers)) for _ in range(2))
+        fewer = servers[first].reported <= servers[second].reported
+        better = first if fewer else second
+        self.trial.after(ONE_WAY_S, lambda: self.serve(job, better))
+
+
+class FixedSplit(Way):
+    """Each host owns a fixed share of the slots and queues for it alone."""
+
+    name = "fixed split"
+
+    def __init__(self, trial: Trial, seed: int) -> None:
+        super().__init__(trial, seed)
+        slots = [
+            index for index, srv in enumerate(trial.servers) for _ in range(srv.slots)
+        ]
+        self._free = [deque(slots[host::HOSTS]) for host in range(HOSTS)]
+        self._queues: list[deque[Job]] = [deque() for _ in range(HOSTS)]
+
+    def arrive(self, job: Job) -> None:
+        self._queues[job.host].append(job)
+        self._dispatch(job.host)
+
+    def finished(self, job: Job, index: int) -> None:
+        self._free[job.host].append(index)
+        self._dispatch(job.host)
+
+    def _dispatch(self, host: int) -> None:
+        while self._queues[host] and self._free[host]:
+            index = self._free[host].popleft()
+            self.serve(self._queues[host].popleft(), index)
+
+
+class KeeperWay(Way):
+    """The product's slot keeper on host 0."""
+
+    name = "slot keeper"
+    policy = KeeperPolicy()
+
+    def __init__(self, trial: Trial, seed: int) -> None:
+        super().__init__(trial, seed)
+        self._keeper = SlotKeeper("s", "r", 1, self.rng, self.policy)
+        declared = [
+            BackendServer(str(index), "127.0.0.1:1", "r", "d", srv.slots, 400)
+            for index, srv in enumerate(trial.servers)
+        ]
+        self._keeper.servers.declare(iter(declared), set(), 0.0)
+        self._keeper.limit = float(sum(srv.slots for srv in trial.servers))
+        self._jobs = {str(job.number): job for job in trial.jobs}
+        self._permits: dict[int, msg.Grant] = {}
+
+    def start(self) -> None:
+        super().start()
+        self._tick()
+
+    def _tick(self) -> None:
+        self._act(self._keeper.tick(self.trial.now))
+        if self.trial.now < SECONDS + 10:
+            self.trial.after(TICK_S, self._tick)
+
+    def _delay(self, host: int) -> float:
+        return 0.0 if host == 0 else ONE_WAY_S
+
+    def arrive(self, job: Job) -> None:
+        self.trial.after(self._delay(job.host), lambda: self._ask(job))
+
+    def _ask(self, job: Job) -> None:
+        left = job.deadline - self.trial.now
+        ask = msg.Acquire("s", "r", str(job.number), left, [])
+        self._act(self._keeper.acquire(f"h{job.host}", ask, self.trial.now))
+
+    def _act(self, replies: Iterator) -> None:
+        for reply in list(replies):
+            message = reply.message
+            job = self._jobs[message.request_id]
+            delay = self._delay(job.host)
+            if isinstance(message, msg.Grant):
+                self._permits[job.number] = message
+                index = int(message.server_id)
+                wait = delay + ONE_WAY_S
+                self.trial.after(wait, lambda j=job, i=index: self._begin(j, i))
+            else:
+                job.refused = message.reason
+                job.done_at = self.trial.now + delay
+
+    def _begin(self, job: Job, index: int) -> None:
+        server = self.trial.servers[index]
+        if server.busy >= server.slots:
+            self.trial.shed += 1
+        self.serve(job, index)
+
+    def finished(self, job: Job, index: int) -> None:
+        grant = self._permits.pop(job.number)
+        wait = ONE_WAY_S + self._delay(job.host)
+        self.trial.after(wait, lambda: self._release(grant, job))
+
+    def _release(self, grant: msg.Grant, job: Job) -> None:
+        done = msg.Release(
+            "s", "r", grant.permit, grant.server_id, "answered", job.service_s
+        )
+        self._act(self._keeper.release(done, self.trial.now))
+
+
+class KeeperNoTest(KeeperWay):
+    """The keeper without the acceptance test."""
+
+    name = "slot keeper, no acceptance test"
+    policy = KeeperPolicy(accept_test=False)
+
+
+class KeeperTestOnly(KeeperWay):
+    """The paper's rule alone: dismiss at dispatch what would probably be late."""
+
+    name = "slot keeper, acceptance test only"
+    policy = KeeperPolicy(queue_deadline_part=1e9)
+
+
+class KeeperNoRefusal(KeeperWay):
+    """The keeper without any refusal on arrival."""
+
+    name = "slot keeper, dismissed only when late"
+    policy = KeeperPolicy(accept_test=False, queue_deadline_part=1e9)
+
+
+WAYS = (
+    IdealQueue,
+    ReportedLoad,
+    FixedSplit,
+    KeeperNoRefusal,
+    KeeperTestOnly,
+    KeeperNoTest,
+    KeeperWay,
+)
+
+
+def measure(shape: ServiceShape, load: float, surge: bool, seed: int) -> dict:
+    """Return figures of every way on the same arrivals."""
+    rows = {}
+    for way_class in WAYS:
+        trial = Trial(shape, load, seed, surge)
+        way = way_class(trial, seed)
+        way.start()
+        trial.run()
+        rows[way_class.name] = _figures(trial)
+    return rows
+
+
+def _figures(trial: Trial) -> dict:
+    hist = HdrHistogram(1, 600_000_000, 3)
+    good = late = 0
+    refusals: Counter[str] = Counter()
+    for job in trial.jobs:
+        if job.refused:
+            refusals[job.refused] += 1
+            continue
+        if not job.done_at or job.done_at > job.deadline:
+            late += 1
+        elif job.done_at <= SECONDS:
+            good += 1
+        end = job.done_at or SECONDS + 60.0
+        hist.record_value(max(1, int((end - job.arrived) * 1e6)))
+    able = min(len(trial.jobs), trial.capacity * SECONDS)
+    return {
+        "offered": len(trial.jobs),
+        "goodput_of_capacity": good / able,
+        "late": late,
+        "refused": dict(refusals),
+        "refused_part": sum(refusals.values()) / max(1, len(trial.jobs)),
+        "p50_ms": hist.get_value_at_percentile(50) / 1000,
+        "p99_ms": hist.get_value_at_percentile(99) / 1000,
+        "p999_ms": hist.get_value_at_percentile(99.9) / 1000,
+        "shed": trial.shed,
+        "most_busy_over_slots": max(srv.most_busy / srv.slots for srv in trial.servers),
+    }
+
+
+def cases() -> list[tuple[str, ServiceShape, float, bool]]:
+    """Return the cases: both deployments, two services, several loads, a surge."""
+    return [
+        (
+            f"{dep.name}/{shape.name}/{load:g}x" + ("/surge" if surge else ""),
+            shape,
+            load,
+            surge,
+        )
+        for dep in DEPLOYMENTS.values()
+        for shape in dep.services[:2]
+        for load in LOADS
+        for surge in ((False, True) if load == 1.0 else (False,))
+    ]
+
+
+def _one_case(case: tuple[str, ServiceShape, float, bool]) -> tuple[str, dict]:
+    key, shape, load, surge = case
+    return key, measure(shape, load, surge, 1)
+
+
+def measure_slots() -> dict:
+    """Return the trial over all cases, one process for each case."""
+    with multiprocessing.Pool(4) as pool:
+        return dict(pool.map(_one_case, cases(), chunksize=1))
+
+
+def print_rows(result: dict) -> None:
+    """Print one line for each way and case."""
+    for key, rows in result.items():
+        print(key)
+        for name, row in rows.items():
+            print(
+                f"  {name:38s} goodput={row['goodput_of_capacity']:.3f} "
+                f"late={row['late']} refused={row['refused_part']:.3f} "
+                f"p50={row['p50_ms']:.0f} p99={row['p99_ms']:.0f} "
+                f"p99.9={row['p999_ms']:.0f} shed={row['shed']}"
+            )
+
+
+if __name__ == "__main__":
+    figures = measure_slots()
+    RESULT.write_text(json.dumps(figures, indent=1, sort_keys=True) + "\n")
+    print_rows(figures)
--- a/lacewingcross/core/keeper.py
+++ b/lacewingcross/core/keeper.py
@@ -273,7 +273,17 @@
         return frozenset()
 
     def _dismiss(self, now: float) -> Iterator[Reply]:
-        """Refuse queued requests whose deadline can no longer be met, at once."""
+        """Refuse requests at the queue's head that can no longer make it."""
+        needed = self._accept_s() if self.policy.accept_test else 0.0
+        while self.queue and self.queue[0].deadline - now < needed:
+            yield self._denied(self.queue.popleft(), "deadline", now)
+
+    def _dismiss_everywhere(self, now: float) -> Iterator[Reply]:
+        """Refuse such requests wherever they wait, once a tick.
+
+        Deadlines differ, so a late one may wait behind others; walking the whole
+        queue for each grant would cost more than the grant.
+        """
         needed = self._accept_s() if self.policy.accept_test else 0.0
         late = [item for item in self.queue if item.deadline - now < needed]
         if not late:
@@ -342,6 +352,7 @@
         for number in lapsed:
             self._vacate(number)
         self._update_demand(now)
+        yield from self._dismiss_everywhere(now)
         yield from self.dispatch(now)
 
     def _update_demand(self, now: float) -> None:
