Specifications checked with z3; differential and exhaustive tests of the core

Cause: the promises were shown by a few process tests only; orders of events that nobody thought of were not tried. Change: spec/ models caps (bounded, nine steps, two planners, one host), configuration (induction) and keeper change (bounded); tests/test_spec.py leaves out each guard and demands a counterexample. tests/test_differential.py drives the real planner, keeper, host limit, configuration and block index against naive versions with hypothesis. tests/test_attempts.py walks every sequence of up to three attempt endings. Found: (1) the first model let a planner write after a restart without reading; the code cannot, the model was corrected. (2) The retry budget summed tenths and fell short of one whole retry (ten times 0.1 is under 1.0); it now counts whole requests. Mutations tried: first sight 100 s early, slots not counted, host limit 50 too high: each made a test fail. A ledger window one second short was not caught.

--- a/lacewingcross/core/attempts.py
+++ b/lacewingcross/core/attempts.py
@@ -110,29 +110,31 @@
 class RetryBudget:
     """Retries as a fraction of requests, so that they cannot amplify a surge.
 
+    Counted in whole requests: sums of fractions would fall short of a whole retry.
+
     Parameters
     ----------
-    fraction : float, default=0.1
-        Retries earned by each request.
-    reserve : float, default=10.0
-        Most that can be saved up.
+    requests_each : int, default=10
+        Requests that earn one retry.
+    reserve : int, default=10
+        Most retries that can be saved up.
     """
 
-    __slots__ = ("_tokens", "fraction", "reserve")
+    __slots__ = ("_earned", "_most", "requests_each")
 
-    def __init__(self, fraction: float = 0.1, reserve: float = 10.0) -> None:
-        self.fraction = fraction
-        self.reserve = reserve
-        self._tokens = reserve
+    def __init__(self, requests_each: int = 10, reserve: int = 10) -> None:
+        self.requests_each = requests_each
+        self._most = reserve * requests_each
+        self._earned = self._most
 
     def earn(self) -> None:
         """Count one request."""
-        self._tokens = min(self.reserve, self._tokens + self.fraction)
+        self._earned = min(self._most, self._earned + 1)
 
     def available(self) -> bool:
         """Tell whether a retry could be paid for."""
-        return self._tokens >= 1.0
+        return self._earned >= self.requests_each
 
     def spend(self) -> None:
         """Pay for one retry."""
-        self._tokens -= 1.0
+        self._earned -= self.requests_each
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocol, checked with z3."""
--- /dev/null
+++ b/spec/caps.py
@@ -0,0 +1,206 @@
+"""Shift caps: two planners, a store, a host; lost answers, restarts, skipped versions.
+
+Bounded check: every run of up to `STEPS` steps, each of which moves time on and lets
+one of the actors act. Each guard can be left out, which must give a counterexample.
+"""
+
+from dataclasses import dataclass
+
+import z3
+
+STEPS = 9
+WINDOW = 2
+CAP = 2
+PLANNERS = 2
+NOTHING, READ, WRITE, RESTART, ADOPT = range(5)
+
+
+@dataclass(slots=True, frozen=True)
+class Guards:
+    """Which guards of the protocol are in place.
+
+    Attributes
+    ----------
+    conditional : bool
+        A write succeeds only on the version that its planner has read.
+    ledger : bool
+        Moves travel in the plan, and a planner counts each from its own first sight.
+    own_clock : bool
+        A move's age is taken from the reader's clock, not from a stamp by the writer,
+        whose clock may be behind.
+    host_limit : bool
+        A host follows the plan only within the cap on its own clock.
+    """
+
+    conditional: bool = True
+    ledger: bool = True
+    own_clock: bool = True
+    host_limit: bool = True
+
+
+class CapModel:
+    """The unrolled runs as z3 constraints."""
+
+    def __init__(self, guards: Guards) -> None:
+        self.guards = guards
+        self.solver = z3.Solver()
+        self.time = [z3.Int(f"time_{s}") for s in range(STEPS)]
+        self.action = [z3.Int(f"action_{s}") for s in range(STEPS)]
+        self.actor = [z3.Int(f"actor_{s}") for s in range(STEPS)]
+        self.moved = [z3.Int(f"moved_{s}") for s in range(STEPS)]
+        self.adopted = [z3.Int(f"adopted_{s}") for s in range(STEPS)]
+        self.skew = z3.Int("skew")
+        self._frame()
+        for step in range(STEPS):
+            self._write(step)
+            self._adopt(step)
+
+    def _frame(self) -> None:
+        add = self.solver.add
+        add(self.time[0] == 0, self.skew >= 0, self.skew <= 3)
+        for step in range(STEPS):
+            add(self.action[step] >= NOTHING, self.action[step] <= ADOPT)
+            add(self.actor[step] >= 0, self.actor[step] < PLANNERS)
+            add(self.moved[step] >= 0, self.adopted[step] >= 0)
+            if step:
+                gap = self.time[step] - self.time[step - 1]
+                add(gap >= 0, gap <= WINDOW + 1)
+
+    def _is(self, step: int, action: int) -> z3.BoolRef:
+        return self.action[step] == action
+
+    def _acts(self, step: int, planner: int, action: int) -> z3.BoolRef:
+        return z3.And(self._is(step, action), self.actor[step] == planner)
+
+    def _last_read_is(self, planner: int, read: int, now: int) -> z3.BoolRef:
+        """Say that `planner` last read in step `read` and did not restart since."""
+        later = [
+            z3.Not(z3.Or(self._acts(step, planner, READ), self._forgets(step, planner)))
+            for step in range(read + 1, now)
+        ]
+        return z3.And(self._acts(read, planner, READ), *later)
+
+    def _forgets(self, step: int, planner: int) -> z3.BoolRef:
+        return self._acts(step, planner, RESTART)
+
+    def _first_sight(self, planner: int, move: int, now: int) -> list[tuple]:
+        """Return (condition, time) for each step in which a move was first seen.
+
+        A restart forgets everything, so sight counts from the first read after it.
+        """
+        cases = []
+        for read in range(move + 1, now):
+            seen_before = z3.Or(
+                [
+                    z3.And(
+                        self._acts(earlier, planner, READ),
+                        *[
+                            z3.Not(self._acts(mid, planner, RESTART))
+                            for mid in range(earlier, now)
+                        ],
+                    )
+                    for earlier in range(move + 1, read)
+                ]
+            )
+            restarted = z3.Or(
+                [self._acts(mid, planner, RESTART) for mid in range(read, now)]
+            )
+            here = z3.And(
+                self._acts(read, planner, READ),
+                z3.Not(seen_before),
+                z3.Not(restarted),
+            )
+            cases.append((here, self.time[read]))
+        return cases
+
+    def _counts(self, planner: int, move: int, now: int) -> z3.BoolRef:
+        """Say whether `planner` counts `move` against the cap in step `now`."""
+        if not self.guards.ledger:
+            # Only what the planner itself moved since it last started.
+            restarted = z3.Or(
+                [self._acts(mid, planner, RESTART) for mid in range(move, now)]
+            )
+            own = z3.And(self.actor[move] == planner, z3.Not(restarted))
+            return z3.And(own, self.time[now] - self.time[move] <= WINDOW)
+        if not self.guards.own_clock:
+            # The writer's stamp, by a clock that is behind.
+            stamp = self.time[move] - self.skew
+            return self.time[now] - stamp <= WINDOW
+        cases = self._first_sight(planner, move, now)
+        return z3.Or(
+            [z3.And(here, self.time[now] - at <= WINDOW) for here, at in cases]
+        )
+
+    def _write(self, step: int) -> None:
+        add = self.solver.add
+        add(z3.Implies(z3.Not(self._is(step, WRITE)), self.moved[step] == 0))
+        for planner in range(PLANNERS):
+            writes = self._acts(step, planner, WRITE)
+            reads = [self._last_read_is(planner, read, step) for read in range(step)]
+            add(z3.Implies(writes, z3.Or(reads)))
+            if self.guards.conditional:
+                for read in range(step):
+                    between = [self._is(mid, WRITE) for mid in range(read, step)]
+                    fresh = z3.Not(z3.Or(between))
+                    last = self._last_read_is(planner, read, step)
+                    add(z3.Implies(z3.And(writes, last), fresh))
+            known = []
+            for move in range(step):
+                # What was written after the last read is not known to it.
+                seen = z3.Or(
+                    [
+                        z3.And(self._last_read_is(planner, read, step), read > move)
+                        for read in range(step)
+                    ]
+                )
+                counted = z3.And(seen, self._counts(planner, move, step))
+                known.append(z3.If(counted, self.moved[move], 0))
+            add(z3.Implies(writes, self.moved[step] + z3.Sum(known or [0]) <= CAP))
+
+    def _adopt(self, step: int) -> None:
+        """Let the host follow the newest plan, skipping versions as it likes."""
+        add = self.solver.add
+        follows = self._is(step, ADOPT)
+        add(z3.Implies(z3.Not(follows), self.adopted[step] == 0))
+        written = z3.Sum([self.moved[s] for s in range(step)] or [0])
+        before = z3.Sum([self.adopted[s] for s in range(step)] or [0])
+        goal = written - before
+        if not self.guards.host_limit:
+            add(z3.Implies(follows, self.adopted[step] == goal))
+            return
+        recent = [
+            z3.If(self.time[step] - self.time[s] <= WINDOW, self.adopted[s], 0)
+            for s in range(step)
+        ]
+        left = CAP - z3.Sum(recent or [0])
+        add(z3.Implies(follows, self.adopted[step] == z3.If(goal < left, goal, left)))
+
+    def _exceeds(self, amounts: list) -> z3.BoolRef:
+        cases = []
+        for first in range(STEPS):
+            within = [
+                z3.If(self.time[s] - self.time[first] <= WINDOW, amounts[s], 0)
+                for s in range(first, STEPS)
+            ]
+            cases.append(z3.Sum(within) > CAP)
+        return z3.Or(cases)
+
+    def plan_exceeds_cap(self) -> bool:
+        """Tell whether some run moves more than the cap in the stored plans."""
+        return self._check(self._exceeds(self.moved))
+
+    def host_exceeds_cap(self) -> bool:
+        """Tell whether some run moves more than the cap on the host."""
+        return self._check(self._exceeds(self.adopted))
+
+    def reaches_full_move(self) -> bool:
+        """Tell whether two whole caps can be moved at all (the model is not empty)."""
+        return self._check(z3.Sum(self.adopted) >= 2 * CAP)
+
+    def _check(self, claim: z3.BoolRef) -> bool:
+        self.solver.push()
+        self.solver.add(claim)
+        result = self.solver.check()
+        self.solver.pop()
+        assert result != z3.unknown, self.solver.reason_unknown()
+        return result == z3.sat
--- /dev/null
+++ b/spec/configuration.py
@@ -0,0 +1,55 @@
+"""Configuration versions: an inductive proof that a host never goes back.
+
+State: the version in force at a host and the highest version ever accepted. Steps: an
+entry arrives from the platform or a peer, of any version accepted so far; an operator's
+write is accepted. The invariant is preserved by every step, from any state.
+"""
+
+import z3
+
+
+def reverts(*, only_upwards: bool) -> bool:
+    """Tell whether one step from a good state can lower the version in force."""
+    before, after = z3.Ints("before after")
+    accepted, accepted_after = z3.Ints("accepted accepted_after")
+    arriving = z3.Int("arriving")
+    taken = z3.If(arriving > before, arriving, before) if only_upwards else arriving
+    good = z3.And(before >= 0, before <= accepted)
+    arrives = z3.And(
+        arriving >= 0,
+        arriving <= accepted,
+        after == taken,
+        accepted_after == accepted,
+    )
+    accepts = z3.And(after == before, accepted_after > accepted)
+    solver = z3.Solver()
+    solver.add(good, z3.Or(arrives, accepts))
+    solver.add(z3.Or(after < before, after > accepted_after))
+    return solver.check() == z3.sat
+
+
+def lost_answer_misreports(*, write_id: bool, conditional_again: bool) -> bool:
+    """Tell whether a writer can report wrongly after its answer was lost.
+
+    One write on version v; its effect may come late. The writer sends the same write
+    again and reads back on a conflict. Without the id it cannot tell its own write from
+    another's; an unconditional repeat can take effect twice.
+    """
+    first_took, other_took, reported_ok, effects = z3.Ints("first other ok effects")
+    solver = z3.Solver()
+    solver.add(first_took >= 0, first_took <= 1, other_took >= 0, other_took <= 1)
+    # The store takes one of two writers on the same version.
+    solver.add(first_took + other_took <= 1)
+    again = z3.If(first_took + other_took == 0, 1, 0) if conditional_again else 1
+    solver.add(effects == first_took + again)
+    own = effects >= 1
+    says_own = own if write_id else z3.Bool("guess")
+    solver.add(reported_ok == z3.If(z3.Or(again == 1, says_own), 1, 0))
+    wrong = z3.Or(
+        z3.And(reported_ok == 1, effects == 0),
+        z3.And(reported_ok == 0, effects >= 1),
+        effects > 1,
+        z3.And(other_took == 1, effects >= 1),
+    )
+    solver.add(wrong)
+    return solver.check() == z3.sat
