--- a/bench/processes.py
+++ b/bench/processes.py
@@ -55,6 +55,17 @@
             stdout=subprocess.DEVNULL,
         )
 
+    def start_naive(self, cfg: object, servers: list[str]) -> None:
+        """Start a naive host in the place of one of ours."""
+        path = Path(self._dir.name) / f"{cfg.host_id}.json"
+        data = {"host_id": cfg.host_id, "entry": cfg.entry, "servers": servers}
+        path.write_text(json.dumps(data))
+        self._procs[cfg.host_id] = subprocess.Popen(
+            [sys.executable, "-m", "bench.naive", str(path)],
+            stderr=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+        )
+
     def kill(self, name: str) -> None:
         proc = self._procs.pop(name)
         proc.kill()
--- a/lacewingcross/cli/main.py
+++ b/lacewingcross/cli/main.py
@@ -8,6 +8,7 @@
 from ..errors import UserError
 from . import daemons, resources
 from .demo import demo
+from .reports import report
 
 EXIT_USER_ERROR = 1
 EXIT_NOT_YET = 3
@@ -27,6 +28,7 @@
     "explain": resources.explain,
     "export": resources.export,
     "check-config": resources.check_config,
+    "report": report,
     "demo": demo,
 }
 
--- a/lacewingcross/cli/resources.py
+++ b/lacewingcross/cli/resources.py
@@ -2,6 +2,7 @@
 
 import getpass
 import os
+import ssl
 import sys
 import time
 from typing import Literal
@@ -13,11 +14,13 @@
 from ..errors import UserError
 from ..operations import Document, Operator, read_documents
 from ..platform_client import PlatformClient, StoredObject
+from ..tls import TlsFiles
 from .output import print_json, print_table
 from .runner import run
 
 Output = Literal["table", "json"]
 PLATFORM_VARIABLE = "LACEWINGCROSS_PLATFORM"
+TLS_VARIABLE = "LACEWINGCROSS_TLS"
 DEFAULT_TIMEOUT_S = 30.0
 _KINDS = {kind.lower(): kind for kind in (*res.OPERATOR_KINDS, res.PLAN, REPORT_KIND)}
 
@@ -29,7 +32,12 @@
             "no-platform", f"give --platform IP:PORT or set {PLATFORM_VARIABLE}"
         )
     writer = f"{getpass.getuser()}/{os.getpid()}"
-    return Operator(PlatformClient(address, writer=writer))
+    return Operator(PlatformClient(address, _client_ssl(), writer))
+
+
+def _client_ssl() -> ssl.SSLContext | None:
+    path = os.environ.get(TLS_VARIABLE, "")
+    return TlsFiles(settings.load_tls(path)).client if path else None
 
 
 def _kind(text: str) -> str:
--- a/lacewingcross/host/app.py
+++ b/lacewingcross/host/app.py
@@ -14,6 +14,7 @@
 from ..metrics import Metrics
 from ..platform_client import PlatformClient
 from ..settings import HostSettings
+from ..tls import TlsFiles
 from .backends.pool import BackendPool
 from .backends.prober import Prober
 from .entry.listener import EntryListener
@@ -37,6 +38,7 @@
     The tree::
 
         host
+        |-- tls          certificates, when there are any
         |-- platform     configuration watch, host list
         |-- mesh         links to the other hosts
         |-- backends     health probes
@@ -68,11 +70,15 @@
         rng = rng or random.Random(secrets.randbits(64))
         core = HostCore(own, rng.getrandbits(INCARNATION_BITS), rng, policy)
         self.runtime = Runtime(core, clock or SystemClock(), Metrics())
-        self._platform = PlatformClient(cfg.platform)
+        self._tls = TlsFiles(cfg.tls) if cfg.tls.enabled else None
+        client_ssl = self._tls.client if self._tls else None
+        mutual_ssl = self._tls.mutual_server if self._tls else None
+        entry_ssl = self._tls.open_server if self._tls else None
+        self._platform = PlatformClient(cfg.platform, client_ssl)
         self._writer = PlatformWriter(self.runtime, self._platform)
         self._pool = BackendPool(self.runtime.now)
-        self.entry = EntryListener(self.runtime, cfg, self._pool)
-        self._mesh = Mesh(self.runtime, cfg.peer, cfg.seeds)
+        self.entry = EntryListener(self.runtime, cfg, self._pool, entry_ssl)
+        self._mesh = Mesh(self.runtime, cfg.peer, cfg.seeds, mutual_ssl, client_ssl)
         self.root = Supervisor("host", self._children())
 
     def _children(self) -> list[Child]:
@@ -85,7 +91,9 @@
             ],
         )
         operators = OperatorsListener(runtime, self.cfg.operators)
+        reload = [Child("tls", self._tls.run)] if self._tls else []
         return [
+            *reload,
             Child("platform", platform.run),
             Child("mesh", self._mesh.run),
             Child("backends", Prober(runtime).run),
--- a/lacewingcross/host/mesh/links.py
+++ b/lacewingcross/host/mesh/links.py
@@ -11,6 +11,7 @@
 from ...core.events import PeerBroken, PeerConnected, PeerMessage
 from ...core.membership import HostInfo
 from ...errors import FrameError
+from ...tls import peer_name
 from ...wire import PROTOCOL, encode, read_message
 from ..runtime import Runtime
 
@@ -230,6 +231,7 @@
             async with asyncio.timeout(HELLO_S):
                 hello = await read_message(reader)
             self._check_hello(hello)
+            self._check_name(hello, writer.get_extra_info("ssl_object"))
             info = HostInfo(
                 hello.host_id,
                 hello.region,
@@ -250,6 +252,20 @@
             self._accepted.discard(writer)
             writer.transport.abort()
 
+    def _check_name(
+        self, hello: msg.Hello, ssl_object: ssl_module.SSLObject | None
+    ) -> None:
+        """Refuse a host that speaks for another one.
+
+        Failure: one stolen or mixed-up certificate speaks for any host, and its
+        messages are taken for those of the host that it names.
+        """
+        if ssl_object is None:
+            return
+        name = peer_name(ssl_object)
+        if name != hello.host_id:
+            raise FrameError("bad-hello", f"certificate of {name!r}, not this host")
+
     def _check_hello(self, hello: msg.Message) -> None:
         if not isinstance(hello, msg.Hello):
             raise FrameError("bad-hello", "expected a hello first")
--- a/lacewingcross/http1_server.py
+++ b/lacewingcross/http1_server.py
@@ -480,7 +480,12 @@
         """Listen; return the port."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(self), host, port, ssl=ssl, backlog=1024
+            lambda: ServerConnection(self),
+            host,
+            port,
+            ssl=ssl,
+            backlog=1024,
+            ssl_handshake_timeout=HEAD_TIMEOUT_S if ssl else None,
         )
         self._sweeper = loop.create_task(self._sweep())
         return self._server.sockets[0].getsockname()[1]
--- a/lacewingcross/settings.py
+++ b/lacewingcross/settings.py
@@ -61,6 +61,7 @@
     hosts: tuple[KnownHost, ...]
     list_lag_s: float = 1.0
     log_level: str = "INFO"
+    tls: TlsSettings = TlsSettings()
 
 
 @dataclass(slots=True, frozen=True)
@@ -101,12 +102,20 @@
 def _read_tls(reader: Reader) -> TlsSettings:
     if not reader.has("tls"):
         return TlsSettings()
-    inner = reader.child("tls")
-    tls = TlsSettings(inner.text("cert"), inner.text("key"), inner.text("ca"))
-    inner.finish()
+    return _tls_fields(reader.child("tls"))
+
+
+def _tls_fields(reader: Reader) -> TlsSettings:
+    tls = TlsSettings(reader.text("cert"), reader.text("key"), reader.text("ca"))
+    reader.finish()
     return tls
 
 
+def load_tls(path: str) -> TlsSettings:
+    """Read a file that names certificate, key and CA."""
+    return _tls_fields(Reader(read_json(path), path, SettingsError))
+
+
 def load_host(path: str) -> HostSettings:
     """Read the settings of an entry host.
 
@@ -155,6 +164,7 @@
         hosts=tuple(_read_known_host(child) for child in reader.children("hosts", [])),
         list_lag_s=reader.number("list_lag_s", 1.0),
         log_level=reader.text("log_level", "INFO", logs.LEVELS),
+        tls=_read_tls(reader),
     )
     reader.finish()
     return cfg
--- a/lacewingcross/standins/platform.py
+++ b/lacewingcross/standins/platform.py
@@ -12,6 +12,7 @@
 from ..http1_json import read_body, send_error, send_json
 from ..http1_server import Exchange, HttpServer
 from ..settings import KnownHost, PlatformSettings
+from ..tls import TlsFiles
 from .store import Change, Store
 
 MAX_OBJECT = 1_000_000
@@ -72,7 +73,9 @@
         host, port = split_address(self._cfg.listen)
         loop = asyncio.get_running_loop()
         self._publisher = loop.create_task(self._publish())
-        return await self.server.start(host, port)
+        files = TlsFiles(self._cfg.tls) if self._cfg.tls.enabled else None
+        ssl = files.mutual_server if files else None
+        return await self.server.start(host, port, ssl)
 
     async def close(self) -> None:
         """Stop."""
--- /dev/null
+++ b/lacewingcross/tls.py
@@ -0,0 +1,94 @@
+"""TLS contexts from files, reloaded when the files change."""
+
+import asyncio
+import ssl
+from pathlib import Path
+
+from . import logs
+from .errors import SettingsError
+from .settings import TlsSettings
+
+RELOAD_S = 2.0
+
+
+class TlsFiles:
+    """Server and client contexts of one process, for mutual TLS under one CA.
+
+    Membership of the private CA is the proof: whoever has no certificate of it
+    cannot join, read or write. Addresses change with every replaced host, so names in
+    certificates are compared with host ids, not with addresses.
+
+    Parameters
+    ----------
+    cfg : TlsSettings
+        Names of the certificate chain, its key and the CA.
+
+    Raises
+    ------
+    SettingsError
+        With code ``bad-tls`` when a file cannot be used.
+    """
+
+    __slots__ = ("_cfg", "_seen", "client", "mutual_server", "open_server")
+
+    def __init__(self, cfg: TlsSettings) -> None:
+        self._cfg = cfg
+        self.client = self._context(ssl.PROTOCOL_TLS_CLIENT)
+        self.client.check_hostname = False
+        self.mutual_server = self._context(ssl.PROTOCOL_TLS_SERVER)
+        self.mutual_server.verify_mode = ssl.CERT_REQUIRED
+        self.open_server = self._context(ssl.PROTOCOL_TLS_SERVER)
+        self._seen = self._stamps()
+        self._load()
+
+    def _context(self, protocol: int) -> ssl.SSLContext:
+        context = ssl.SSLContext(protocol)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        return context
+
+    def _stamps(self) -> tuple[int, ...]:
+        names = (self._cfg.cert, self._cfg.key, self._cfg.ca)
+        try:
+            return tuple(Path(name).stat().st_mtime_ns for name in names)
+        except OSError as exc:
+            raise SettingsError("bad-tls", f"tls: {exc}") from exc
+
+    def _load(self) -> None:
+        try:
+            for context in (self.client, self.mutual_server, self.open_server):
+                context.load_cert_chain(self._cfg.cert, self._cfg.key)
+                context.load_verify_locations(self._cfg.ca)
+        except (OSError, ssl.SSLError) as exc:
+            raise SettingsError("bad-tls", f"tls: {self._cfg.cert}: {exc}") from exc
+
+    async def run(self) -> None:
+        """Take over changed files until cancelled; bad ones leave the old in use.
+
+        Connections that are open stay; new handshakes use the new certificate.
+        """
+        while True:
+            await asyncio.sleep(RELOAD_S)
+            try:
+                self.reload()
+            except SettingsError as exc:
+                logs.event("tls-reload-failed", "ERROR", why=exc.message)
+
+    def reload(self) -> bool:
+        """Load the files again if they changed; return whether they did."""
+        stamps = self._stamps()
+        if stamps == self._seen:
+            return False
+        self._load()
+        self._seen = stamps
+        logs.event("tls-reloaded", cert=self._cfg.cert)
+        return True
+
+
+def peer_name(ssl_object: ssl.SSLObject | None) -> str:
+    """Return the common name in the peer's certificate, or an empty string."""
+    certificate = ssl_object.getpeercert() if ssl_object else None
+    for part in (certificate or {}).get("subject", ()):
+        for key, value in part:
+            if key == "commonName":
+                return value
+    return ""
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -47,9 +47,11 @@
 class Processes:
     """A layout's platform, hosts and backend servers, each a process."""
 
-    def __init__(self, layout: Layout) -> None:
+    def __init__(self, layout: Layout, ssl=None) -> None:
         self.layout = layout
-        self.operator = Operator(PlatformClient(layout.platform.listen, writer="test"))
+        self.ssl = ssl
+        client = PlatformClient(layout.platform.listen, ssl, writer="test")
+        self.operator = Operator(client)
         self._dir = tempfile.TemporaryDirectory()
         self._running: dict[str, subprocess.Popen] = {}
 
@@ -114,7 +116,8 @@
 
     async def platform_ready(self) -> None:
         """Wait until the platform answers."""
-        await until(lambda: self.fetch(self.layout.platform.listen, "/v1/hosts"))
+        address = self.layout.platform.listen
+        await until(lambda: self.fetch(address, "/v1/hosts", ssl=self.ssl))
 
     async def _planned(self) -> bool:
         for cfg in self.layout.hosts:
@@ -123,9 +126,9 @@
                 return False
         return True
 
-    async def fetch(self, address: str, target: str, data: object = None):
+    async def fetch(self, address: str, target: str, data: object = None, ssl=None):
         """Return the JSON answer of a GET, or of a POST when `data` is given."""
-        client = HttpClient(address)
+        client = HttpClient(address, ssl)
         try:
             if data is None:
                 response = await client.request("GET", target)
