--- a/lacewingcross/host/app.py
+++ b/lacewingcross/host/app.py
@@ -78,7 +78,13 @@
         self._writer = PlatformWriter(self.runtime, self._platform)
         self._pool = BackendPool(self.runtime.now)
         self.entry = EntryListener(self.runtime, cfg, self._pool, entry_ssl)
-        self._mesh = Mesh(self.runtime, cfg.peer, cfg.seeds, mutual_ssl, client_ssl)
+        self._mesh = Mesh(
+            self.runtime,
+            cfg.peer_listen or cfg.peer,
+            cfg.seeds,
+            mutual_ssl,
+            client_ssl,
+        )
         self.root = Supervisor("host", self._children())
 
     def _children(self) -> list[Child]:
--- a/lacewingcross/settings.py
+++ b/lacewingcross/settings.py
@@ -35,6 +35,7 @@
     operators: str
     platform: str
     seeds: tuple[str, ...] = ()
+    peer_listen: str = ""
     log_level: str = "INFO"
     trust_client_address: bool = False
     max_connections: int = 4000
@@ -134,6 +135,7 @@
         operators=reader.address("operators"),
         platform=reader.address("platform"),
         seeds=tuple(reader.addresses("seeds", [])),
+        peer_listen=reader.address("peer_listen", ""),
         log_level=reader.text("log_level", "INFO", logs.LEVELS),
         trust_client_address=reader.boolean("trust_client_address", False),
         max_connections=reader.integer("max_connections", 4000, low=1),
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -174,6 +174,8 @@
     data = dataclasses.asdict(cfg)
     if "tls" in data and not data["tls"]["cert"]:
         del data["tls"]
+    if data.get("peer_listen") == "":
+        del data["peer_listen"]
     for field in ("hosts", "seeds"):
         if field in data:
             data[field] = list(data[field])
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,64 @@
+"""A TCP relay in front of a host's peer port, which tests can cut."""
+
+import asyncio
+import dataclasses
+
+
+class Relay:
+    """Passes bytes on until it is cut; a cut drops and refuses connections."""
+
+    def __init__(self, listen, target):
+        self.listen = listen
+        self.target = target
+        self.cut = False
+        self._server = None
+        self._writers = set()
+
+    async def start(self):
+        host, _, port = self.listen.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
+    def set_cut(self, cut):
+        self.cut = cut
+        if cut:
+            for writer in self._writers:
+                writer.transport.abort()
+
+    async def _accept(self, reader, writer):
+        if self.cut:
+            writer.transport.abort()
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            there = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, there[1]}
+        await asyncio.gather(self._pump(reader, there[1]), self._pump(there[0], writer))
+
+    async def _pump(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+            self._writers.discard(writer)
+
+    async def close(self):
+        self.set_cut(True)
+        self._server.close()
+
+
+async def put_relays(layout, ports):
+    """Put a relay before each host's peer port; return them by host id."""
+    relays = {}
+    for index, cfg in enumerate(layout.hosts):
+        inner = ports.take()
+        layout.hosts[index] = dataclasses.replace(cfg, peer_listen=inner)
+        relays[cfg.host_id] = Relay(cfg.peer, inner)
+        await relays[cfg.host_id].start()
+    return relays
--- /dev/null
+++ b/tests/test_partitions_processes.py
@@ -0,0 +1,155 @@
+"""Hosts that lose each other, alone and together with a platform outage."""
+
+import asyncio
+import signal
+from collections import Counter
+
+import pytest
+
+from lacewingcross.caller import ANSWERED, NOT_RUN, Caller
+from lacewingcross.deployments import Ports
+from lacewingcross.embedded import free_ports
+from lacewingcross.operations import Document
+
+from .processes import Processes, small_layout, until
+from .relay import put_relays
+
+
+async def _load(procs, num, stop, answers):
+    region = num % 2 + 1
+    caller = Caller(
+        procs.entries(), caller_id=f"c{num}", address=f"10.{region}.0.{num + 1}"
+    )
+    count = 0
+    while not stop.is_set():
+        count += 1
+        request_id = f"c{num}-{count}"
+        answer = await caller.request(
+            "POST",
+            "/booking/x",
+            service="booking",
+            body=b"x",
+            request_id=request_id,
+            deadline_s=3.0,
+        )
+        answers.append((request_id, answer))
+        await asyncio.sleep(0.02)
+    caller.close()
+
+
+async def _cut(outage):
+    layout = small_layout()
+    relays = await put_relays(layout, Ports(free_ports()))
+    try:
+        async with Processes(layout) as procs:
+            stop, answers = asyncio.Event(), []
+            tasks = [
+                asyncio.create_task(_load(procs, num, stop, answers))
+                for num in range(6)
+            ]
+            await asyncio.sleep(1.0)
+            if outage:
+                await procs.faults(outage=True)
+            for relay in relays.values():
+                relay.set_cut(True)
+            at = len(answers)
+            await asyncio.sleep(4.0)
+            during = answers[at:]
+            for relay in relays.values():
+                relay.set_cut(False)
+            await procs.faults(outage=False)
+
+            async def healed():
+                for cfg in layout.hosts:
+                    status = await procs.fetch(cfg.operators, "/status")
+                    if set(status["hosts"].values()) != {"live"}:
+                        return False
+                return True
+
+            await until(healed)
+            stop.set()
+            await asyncio.gather(*tasks)
+            return answers, during, await procs.ledgers()
+    finally:
+        for relay in relays.values():
+            await relay.close()
+
+
+@pytest.mark.parametrize("outage", [False, True])
+def test_hosts_that_lose_each_other_serve_their_own_region(outage):
+    """All links between hosts are cut for four seconds, also in a platform outage.
+
+    What a user would see: requests that hang because their slot keeper is on the
+    other side, or bookings that run twice because two keepers grant one slot. Each
+    host keeps its own region's slots; backend servers shed what is too much.
+    """
+    answers, during, ledger = asyncio.run(_cut(outage))
+    ran = Counter(item["request_id"] for item in ledger)
+    outcomes = Counter(answer.outcome for _, answer in during)
+    assert outcomes[ANSWERED] > 0.8 * len(during), outcomes
+    for request_id, answer in answers:
+        assert ran[request_id] <= 1
+        if answer.outcome == NOT_RUN:
+            assert ran[request_id] == 0
+
+
+async def _frozen_holder():
+    async with Processes(small_layout()) as procs:
+        for cfg in procs.layout.backends:
+            await procs.backend(cfg.server_id, service_ms=300.0)
+        stop, answers = asyncio.Event(), []
+        tasks = [
+            asyncio.create_task(_load(procs, num, stop, answers)) for num in range(8)
+        ]
+        await asyncio.sleep(1.5)
+        procs.signal("host-3", signal.SIGSTOP)
+        await asyncio.sleep(6.5)
+        procs.signal("host-3", signal.SIGCONT)
+        await asyncio.sleep(1.5)
+        stop.set()
+        await asyncio.gather(*tasks)
+        return answers, await procs.ledgers()
+
+
+def test_host_that_is_frozen_past_its_leases_wakes_harmlessly():
+    """A host freezes with permits and grants in hand, longer than the lease.
+
+    What a user would see: its requests started on slots that others use by now, or
+    run twice after being given up elsewhere.
+    """
+    answers, ledger = asyncio.run(_frozen_holder())
+    ran = Counter(item["request_id"] for item in ledger)
+    for request_id, answer in answers:
+        assert ran[request_id] <= 1
+        if answer.outcome == NOT_RUN:
+            assert ran[request_id] == 0, (request_id, answer)
+
+
+async def _replace_everybody():
+    layout = small_layout()
+    async with Processes(layout) as procs:
+        applied = await procs.operator.apply(
+            Document("ShiftCap", "booking", {"fraction": 0.2, "window_s": 9.0})
+        )
+        await procs.operator.wait_in_force(applied.version, 20.0)
+        for cfg in layout.hosts:
+            procs.kill(cfg.host_id)
+        for cfg in layout.hosts:
+            procs.spawn(cfg.host_id, ["host"], cfg)
+        caller = Caller(procs.entries(), caller_id="c", address="10.1.0.1")
+
+        async def served():
+            answer = await caller.request(
+                "GET", "/booking/x", service="booking", deadline_s=1.0, max_tries=1
+            )
+            return answer.outcome == ANSWERED
+
+        await until(served)
+        state = await procs.operator.wait_in_force(applied.version, 20.0)
+        caller.close()
+        return len(state.live)
+
+
+def test_fleet_whose_hosts_are_all_replaced_serves_again():
+    """Every host dies at once; nothing is left but the platform."""
+    assert asyncio.run(_replace_everybody()) == 3
