--- a/bench/processes.py
+++ b/bench/processes.py
@@ -7,13 +7,13 @@
 import subprocess
 import sys
 import tempfile
-from dataclasses import asdict
 from pathlib import Path
 
 from lacewingcross.deployments import Layout
 from lacewingcross.http1_client import HttpClient, HttpError
 from lacewingcross.operations import Operator, read_documents
 from lacewingcross.platform_client import PlatformClient
+from lacewingcross.settings import as_data
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 WAIT_S = 60.0
@@ -47,9 +47,7 @@
 
     def start(self, name: str, words: list[str], cfg: object) -> None:
         path = Path(self._dir.name) / f"{name}.json"
-        unset = ("", {"cert": "", "key": "", "ca": ""})
-        data = {key: val for key, val in asdict(cfg).items() if val not in unset}
-        path.write_text(json.dumps(data))
+        path.write_text(json.dumps(as_data(cfg)))
         self._procs[name] = subprocess.Popen(
             [sys.executable, "-m", "lacewingcross", *words, "--cfg", str(path)],
             stderr=subprocess.DEVNULL,
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -110,7 +110,7 @@
 
     def _region_weights(self) -> list[float]:
         """Return the traffic of each region in proportion to its slots."""
-        counts = Counter(num % 6 // 2 for num in range(SHAPE.workers))
+        counts = Counter(num % len(REGIONS) for num in range(SHAPE.workers))
         return [float(counts[index]) for index in range(len(REGIONS))]
 
     async def _offer(self) -> None:
--- a/lacewingcross/cli/main.py
+++ b/lacewingcross/cli/main.py
@@ -8,6 +8,7 @@
 from ..errors import UserError
 from . import daemons, resources
 from .demo import demo
+from .examples import example
 from .reports import report
 
 EXIT_USER_ERROR = 1
@@ -29,6 +30,7 @@
     "export": resources.export,
     "check-config": resources.check_config,
     "report": report,
+    "example": example,
     "demo": demo,
 }
 
--- a/lacewingcross/deployments.py
+++ b/lacewingcross/deployments.py
@@ -36,9 +36,12 @@
     first_block: int
 
     def failure_domains(self) -> list[tuple[str, str]]:
-        """Return (region, failure domain), two in each region."""
+        """Return (region, failure domain), two in each region.
+
+        The regions take turns, so that even a few hosts or workers cover them all.
+        """
         return [
-            (region, f"{region}-{num}") for region in self.regions for num in (1, 2)
+            (region, f"{region}-{num}") for num in (1, 2) for region in self.regions
         ]
 
 
--- a/lacewingcross/http1_server.py
+++ b/lacewingcross/http1_server.py
@@ -9,6 +9,7 @@
 import h11
 
 from . import headers as hd
+from . import logs
 
 MAX_HEAD = 16 * 1024
 HEAD_TIMEOUT_S = 10.0
@@ -512,9 +513,9 @@
             pass
         except BadBodyError:
             exchange.abort()
-        except Exception:
+        except Exception as exc:
             exchange.abort()
-            raise
+            logs.event("request-failed", "ERROR", error=repr(exc))
 
     async def _sweep(self) -> None:
         while True:
--- a/lacewingcross/settings.py
+++ b/lacewingcross/settings.py
@@ -1,7 +1,7 @@
 """Settings files: JSON, checked, one for each process."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
 from . import logs
@@ -192,3 +192,13 @@
     )
     reader.finish()
     return cfg
+
+
+def as_data(
+    cfg: HostSettings | PlatformSettings | BackendSettings,
+) -> dict[str, object]:
+    """Return settings as the JSON data that their loader reads."""
+    data = asdict(cfg)
+    unset = ("", (), asdict(TlsSettings()))
+    data = {key: value for key, value in data.items() if value not in unset}
+    return json.loads(json.dumps(data))
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -15,6 +15,7 @@
 from lacewingcross.http1_client import HttpClient, HttpError
 from lacewingcross.operations import Operator, read_documents
 from lacewingcross.platform_client import PlatformClient
+from lacewingcross.settings import as_data
 
 WAIT_S = 30.0
 SMALL = Deployment(
@@ -80,7 +81,7 @@
     def spawn(self, name: str, words: list[str], cfg) -> None:
         """Start one process with its settings file."""
         path = Path(self._dir.name) / f"{name}.json"
-        path.write_text(json.dumps(settings_data(cfg)))
+        path.write_text(json.dumps(as_data(cfg)))
         log = open(Path(self._dir.name) / f"{name}.log", "ab")  # noqa: SIM115
         self._running[name] = subprocess.Popen(
             [sys.executable, "-m", "lacewingcross", *words, "--cfg", str(path)],
@@ -169,19 +170,6 @@
         return next(cfg for cfg in self.layout.hosts if cfg.host_id == host_id)
 
 
-def settings_data(cfg) -> dict[str, object]:
-    """Return settings as the JSON data that their loader reads."""
-    data = dataclasses.asdict(cfg)
-    if "tls" in data and not data["tls"]["cert"]:
-        del data["tls"]
-    if data.get("peer_listen") == "":
-        del data["peer_listen"]
-    for field in ("hosts", "seeds"):
-        if field in data:
-            data[field] = list(data[field])
-    return data
-
-
 async def until(condition, timeout_s: float = WAIT_S) -> None:
     """Wait until `condition` (plain or coroutine function) gives a true value."""
     async with asyncio.timeout(timeout_s):
