Idempotency keys claimed in batches by conditional update of a head

Cause: a claim object for each booking cost one write and was never deleted; the users' peak of several hundred bookings a second is more than the platform's writes. Ruled out: a log of numbered segments by create. Change: core/claims.py; claims go to a shard's owner, one update carries all that wait. Hosts ask again when the owner changes; the claim's id makes that harmless. Conclusion: writes are bounded by shards and pauses, not by bookings.

--- a/lacewingcross/core/actions.py
+++ b/lacewingcross/core/actions.py
@@ -91,11 +91,18 @@
 
 
 @dataclass(slots=True, frozen=True)
-class DropClaim:
-    """Delete a key claim if it still is the one named; retried until it is gone."""
+class DeleteObject:
+    """Delete an object that nobody needs any more; nobody waits for the end."""
 
     key: str
-    claim: str
+
+
+@dataclass(slots=True, frozen=True)
+class LoadObjects:
+    """Read all objects of a kind."""
+
+    call_id: int
+    kind: str
 
 
 @dataclass(slots=True, frozen=True)
@@ -121,7 +128,8 @@
     | CancelAttempt
     | CreateObject
     | UpdateObject
-    | DropClaim
+    | DeleteObject
+    | LoadObjects
     | Log
     | Count
 )
--- /dev/null
+++ b/lacewingcross/core/claims.py
@@ -0,0 +1,380 @@
+"""Claims of idempotency keys: kept in the platform, written in batches."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from . import messages as msg
+from .actions import (
+    Action,
+    Count,
+    CreateObject,
+    DeleteObject,
+    LoadObjects,
+    Log,
+    SendPeer,
+    UpdateObject,
+)
+from .events import ObjectsLoaded, StoredSpec, WriteEnded
+from .rendezvous import hash64, owner
+from .view import View
+
+SHARDS = 4
+HEAD_MAX = 400
+SEGMENT_TTL_S = 3600.0
+BATCH_PAUSE_S = 0.03
+LOAD_RETRY_S = 0.5
+UNUSED_S = 30.0
+ANSWER_WITHIN_S = 2.5
+HEAD = "head"
+CALL_BASE = 1 << 45
+KIND_PREFIX = "Claims"
+
+CLAIMED = "ok"
+TAKEN = "conflict"
+UNAVAILABLE = "unavailable"
+
+
+def shard_of(key_hash: str) -> int:
+    """Return the shard of a key's hash."""
+    return int(key_hash[:8], 16) % SHARDS
+
+
+def hash_key(service: str, key: str) -> str:
+    """Return 128 bits of a key's hash in hex; keys themselves are not stored."""
+    return f"{hash64(service, key, 'a'):016x}{hash64(service, key, 'b'):016x}"
+
+
+def claim_id(host_id: str, incarnation: int, request_id: str) -> str:
+    """Return the short id of a request's claim, the same for each of its asks."""
+    return f"{hash64(host_id, str(incarnation), request_id):016x}"
+
+
+def shard_kind(service: str, shard: int) -> str:
+    """Return the kind of the objects that hold a shard's claims."""
+    return f"{KIND_PREFIX}.{service}.{shard}"
+
+
+@dataclass(slots=True)
+class Pending:
+    """A claim that waits for its batch."""
+
+    host_id: str
+    request_id: str
+    key_hash: str
+    claim: str
+    since: float
+
+
+@dataclass(slots=True)
+class Shard:
+    """The claims of one shard as this host knows them.
+
+    In the platform: an object ``head`` with the newest claims and the names of the
+    segments, which hold older ones and never change. Every batch is one conditional
+    update of the head. So two owners at once are harmless: the one that does not know
+    the newest head fails, reads it, and finds the keys that the other has claimed.
+    """
+
+    service: str
+    number: int
+    loaded: bool = False
+    loading_since: float = float("-inf")
+    head_version: int = 0
+    head: dict[str, str] = field(default_factory=dict)
+    freed: dict[str, str] = field(default_factory=dict)
+    segments: dict[str, dict[str, str]] = field(default_factory=dict)
+    first_seen: dict[str, float] = field(default_factory=dict)
+    waiting: list[Pending] = field(default_factory=list)
+    freeing: dict[str, str] = field(default_factory=dict)
+    batch: "Batch | None" = None
+    call_id: int = 0
+    written_at: float = float("-inf")
+    used_at: float = float("-inf")
+
+    @property
+    def kind(self) -> str:
+        """Return the kind of its objects."""
+        return shard_kind(self.service, self.number)
+
+    def holder(self, key_hash: str) -> str:
+        """Return the claim that holds a key, or an empty string."""
+        claim = self.head.get(key_hash, "")
+        for segment in self.segments.values():
+            claim = claim or segment.get(key_hash, "")
+        return "" if self.freed.get(key_hash) == claim else claim
+
+    def forget(self) -> None:
+        """Drop what was read; it may no longer be what is stored."""
+        self.loaded = False
+
+
+@dataclass(slots=True)
+class Batch:
+    """What one write of the head carries, to be taken over when it has ended."""
+
+    items: list[Pending]
+    head: dict[str, str]
+    freed: dict[str, str]
+    segments: dict[str, dict[str, str]]
+    freeing: dict[str, str]
+    rolled: str = ""
+
+
+class ClaimKeeper:
+    """Answers claims for the shards this host is asked for.
+
+    One host is the owner of a shard by rendezvous, so that claims come in batches and
+    writes do not collide. Any host that is asked serves: ownership is for cost only.
+
+    Parameters
+    ----------
+    view : View
+        Shared state.
+    """
+
+    __slots__ = ("_calls", "_next_call", "_view", "shards")
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+        self.shards: dict[tuple[str, int], Shard] = {}
+        self._calls: dict[int, tuple[str, int]] = {}
+        self._next_call = CALL_BASE
+
+    def owner_of(self, service: str, number: int, now: float) -> str:
+        """Return the host to ask for a shard's claims."""
+        view = self._view
+        live = [info.host_id for info in view.members.live(now)]
+        return owner(f"claims/{service}/{number}", live) or view.own.host_id
+
+    def busy(self) -> bool:
+        """Tell whether a claim waits to be written."""
+        return any(shard.waiting or shard.freeing for shard in self.shards.values())
+
+    # Asks
+
+    def on_claim(self, host_id: str, claim: msg.Claim, now: float) -> Iterator[Action]:
+        """Queue a claim, or answer it at once when its key is held."""
+        shard = self._shard(claim.service, claim.key_hash, now)
+        item = Pending(host_id, claim.request_id, claim.key_hash, claim.claim, now)
+        if shard.loaded and not shard.call_id and shard.holder(claim.key_hash):
+            yield self._answer(shard, item, self._verdict(shard, item))
+            return
+        shard.waiting.append(item)
+        yield from self._advance(shard, now)
+
+    def on_unclaim(self, unclaim: msg.Unclaim, now: float) -> Iterator[Action]:
+        """Give back the key of a request that is proved not to have run."""
+        shard = self._shard(unclaim.service, unclaim.key_hash, now)
+        shard.waiting = [it for it in shard.waiting if it.claim != unclaim.claim]
+        shard.freeing[unclaim.key_hash] = unclaim.claim
+        yield from self._advance(shard, now)
+
+    def _shard(self, service: str, key_hash: str, now: float) -> Shard:
+        number = shard_of(key_hash)
+        key = (service, number)
+        if key not in self.shards:
+            self.shards[key] = Shard(service, number)
+        self.shards[key].used_at = now
+        return self.shards[key]
+
+    def _verdict(self, shard: Shard, item: Pending) -> str:
+        return CLAIMED if shard.holder(item.key_hash) == item.claim else TAKEN
+
+    def _answer(self, shard: Shard, item: Pending, outcome: str) -> SendPeer:
+        message = msg.ClaimEnded(shard.service, item.request_id, item.claim, outcome)
+        return SendPeer(item.host_id, message)
+
+    # Platform calls
+
+    def owns_call(self, call_id: int) -> bool:
+        """Tell whether a platform call is this part's."""
+        return call_id in self._calls
+
+    def _new_call(self, shard: Shard) -> int:
+        self._next_call += 1
+        self._calls[self._next_call] = (shard.service, shard.number)
+        shard.call_id = self._next_call
+        return self._next_call
+
+    def _end_call(self, call_id: int) -> Shard:
+        shard = self.shards[self._calls.pop(call_id)]
+        shard.call_id = 0
+        return shard
+
+    def _advance(self, shard: Shard, now: float) -> Iterator[Action]:
+        """Read the shard if it is not known, else write the next batch."""
+        if shard.call_id or not (shard.waiting or shard.freeing):
+            return
+        if not shard.loaded:
+            if now - shard.loading_since >= LOAD_RETRY_S:
+                shard.loading_since = now
+                yield LoadObjects(self._new_call(shard), shard.kind)
+        elif now - shard.written_at >= BATCH_PAUSE_S:
+            yield from self._write(shard, now)
+
+    def _write(self, shard: Shard, now: float) -> Iterator[Action]:
+        batch = Batch(
+            [], dict(shard.head), dict(shard.freed), dict(shard.segments), shard.freeing
+        )
+        shard.freeing = {}
+        changed = self._free(shard, batch)
+        for item in shard.waiting:
+            holder = batch.head.get(item.key_hash) or shard.holder(item.key_hash)
+            if holder and holder != item.claim:
+                yield self._answer(shard, item, TAKEN)
+                continue
+            batch.items.append(item)
+            batch.head[item.key_hash] = item.claim
+            batch.freed.pop(item.key_hash, None)
+            changed = True
+        shard.waiting = []
+        if not changed:
+            return
+        self._drop_old(batch, shard, now)
+        shard.batch = batch
+        shard.written_at = now
+        if len(batch.head) > HEAD_MAX:
+            yield self._roll(shard, batch)
+        else:
+            yield self._write_head(shard, batch)
+
+    def _free(self, shard: Shard, batch: Batch) -> bool:
+        changed = False
+        for key_hash, claim in batch.freeing.items():
+            if shard.holder(key_hash) != claim:
+                continue
+            changed = True
+            if batch.head.get(key_hash) == claim:
+                del batch.head[key_hash]
+            else:
+                batch.freed[key_hash] = claim
+        return changed
+
+    def _drop_old(self, batch: Batch, shard: Shard, now: float) -> None:
+        """Leave out segments past their time, counted from this host's first sight."""
+        for name in list(batch.segments):
+            if now - shard.first_seen.get(name, now) > SEGMENT_TTL_S:
+                old = batch.segments.pop(name)
+                for key_hash in old:
+                    batch.freed.pop(key_hash, None)
+
+    def _roll(self, shard: Shard, batch: Batch) -> CreateObject:
+        """Put the head's claims into a segment first, then go on with a short head."""
+        batch.rolled = f"s{shard.head_version}"
+        spec = {"claimed": shard.head}
+        return CreateObject(self._new_call(shard), f"{shard.kind}/{batch.rolled}", spec)
+
+    def _write_head(self, shard: Shard, batch: Batch) -> CreateObject | UpdateObject:
+        key = f"{shard.kind}/{HEAD}"
+        spec = {
+            "claimed": batch.head,
+            "freed": batch.freed,
+            "segments": sorted(batch.segments),
+        }
+        call_id = self._new_call(shard)
+        if not shard.head_version:
+            return CreateObject(call_id, key, spec)
+        return UpdateObject(call_id, key, spec, shard.head_version)
+
+    def write_ended(self, ended: WriteEnded, now: float) -> Iterator[Action]:
+        """Go on after a write of a segment or of the head."""
+        shard = self._end_call(ended.call_id)
+        batch = shard.batch
+        yield Count(f"claims.write-{ended.outcome}")
+        if batch.rolled and batch.rolled not in batch.segments:
+            # The segment is a copy under a name made of the head's version; a conflict
+            # means that an earlier try of the same copy is there already.
+            if ended.outcome in ("ok", "conflict"):
+                batch.segments[batch.rolled] = shard.head
+                batch.head = {it.key_hash: it.claim for it in batch.items}
+                yield self._write_head(shard, batch)
+                return
+        elif ended.outcome == "ok":
+            yield from self._taken_over(shard, batch, ended.version, now)
+            yield from self._advance(shard, now)
+            return
+        # Somebody else was first, or it is not clear what happened: nothing is
+        # answered or written before the shard has been read again.
+        shard.batch = None
+        shard.waiting = batch.items + shard.waiting
+        shard.freeing = {**batch.freeing, **shard.freeing}
+        shard.forget()
+        yield from self._advance(shard, now)
+
+    def _taken_over(
+        self, shard: Shard, batch: Batch, version: int, now: float
+    ) -> Iterator[Action]:
+        shard.batch = None
+        shard.head_version = version
+        shard.head = batch.head
+        shard.freed = batch.freed
+        gone = [name for name in shard.segments if name not in batch.segments]
+        shard.segments = batch.segments
+        for name in batch.segments:
+            shard.first_seen.setdefault(name, now)
+        for item in batch.items:
+            yield self._answer(shard, item, CLAIMED)
+        for name in gone:
+            shard.first_seen.pop(name, None)
+            yield DeleteObject(f"{shard.kind}/{name}")
+
+    def loaded(self, event: ObjectsLoaded, now: float) -> Iterator[Action]:
+        """Take over what was read from the platform."""
+        shard = self._end_call(event.call_id)
+        if event.objects is None or not _read_objects(shard, event.objects, now):
+            yield Count("claims.load-failed")
+            yield from self._refuse_waiting(shard, shard.waiting)
+            return
+        yield Log(
+            "claims-loaded",
+            {"service": shard.service, "shard": shard.number, "keys": len(shard.head)},
+        )
+        held = [item for item in shard.waiting if shard.holder(item.key_hash)]
+        for item in held:
+            # Our own claim there: its write took effect although that was unclear.
+            shard.waiting.remove(item)
+            yield self._answer(shard, item, self._verdict(shard, item))
+        yield from self._advance(shard, now)
+
+    def _refuse_waiting(self, shard: Shard, items: list[Pending]) -> Iterator[Action]:
+        """Answer claims that the platform keeps from being decided.
+
+        A write of such a claim may still have taken effect; giving its key back is
+        queued, so that the caller's next try does not find it taken.
+        """
+        for item in list(items):
+            shard.waiting.remove(item)
+            shard.freeing[item.key_hash] = item.claim
+            yield self._answer(shard, item, UNAVAILABLE)
+
+    def tick(self, now: float) -> Iterator[Action]:
+        """Write what waits; give up what has waited for too long."""
+        for shard in self.shards.values():
+            late = [it for it in shard.waiting if now - it.since > ANSWER_WITHIN_S]
+            yield from self._refuse_waiting(shard, late)
+            yield from self._advance(shard, now)
+            if shard.loaded and not shard.call_id and now - shard.used_at > UNUSED_S:
+                # Read again before the next use, and hold no memory until then.
+                shard.forget()
+                shard.head = {}
+                shard.segments = {}
+
+
+def _read_objects(shard: Shard, objects: list[StoredSpec], now: float) -> bool:
+    """Fill a shard from its stored objects; False when a segment is missing."""
+    specs = {item.name: item for item in objects}
+    head = specs.get(HEAD)
+    fields = head.spec if head is not None else {}
+    names = fields.get("segments", [])
+    if any(name not in specs for name in names):
+        # Listed while an owner was dropping an old one: read again.
+        return False
+    shard.head_version = head.version if head is not None else 0
+    shard.head = dict(fields.get("claimed", {}))
+    shard.freed = dict(fields.get("freed", {}))
+    shard.segments = {name: dict(specs[name].spec["claimed"]) for name in names}
+    shard.first_seen = {
+        name: shard.first_seen.get(name, now) for name in shard.segments
+    }
+    shard.loaded = True
+    return True
--- a/lacewingcross/core/events.py
+++ b/lacewingcross/core/events.py
@@ -62,6 +62,23 @@
     text: str = ""
 
 
+@dataclass(slots=True, frozen=True)
+class StoredSpec:
+    """One stored object: name, version and what its writer stored."""
+
+    name: str
+    version: int
+    spec: dict[str, object]
+
+
+@dataclass(slots=True, frozen=True)
+class ObjectsLoaded:
+    """All objects of a kind; None when they could not be read."""
+
+    call_id: int
+    objects: list[StoredSpec] | None
+
+
 @dataclass(slots=True, frozen=True)
 class RequestArrived:
     """A caller's request, its head read.
@@ -146,6 +163,7 @@
     | ConfigSeen
     | HostsListed
     | WriteEnded
+    | ObjectsLoaded
     | RequestArrived
     | RequestCancelled
     | FirstByteWritten
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -148,6 +148,35 @@
     held: list[tuple[str, int]]
 
 
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """Ask the owner of a key's shard to claim an idempotency key."""
+
+    service: str
+    request_id: str
+    key_hash: str
+    claim: str
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimEnded:
+    """Answer to a claim: ``ok``, ``conflict`` or ``unavailable``."""
+
+    service: str
+    request_id: str
+    claim: str
+    outcome: str
+
+
+@dataclass(slots=True, frozen=True)
+class Unclaim:
+    """Give a key back: its request is proved not to have run."""
+
+    service: str
+    key_hash: str
+    claim: str
+
+
 @dataclass(slots=True, frozen=True)
 class RegionLoad:
     """A keeper's figures on one region, for the planner."""
@@ -176,4 +205,7 @@
     | HeldReport
     | RegionLoad
     | Members
+    | Claim
+    | ClaimEnded
+    | Unclaim
 )
--- a/lacewingcross/core/node.py
+++ b/lacewingcross/core/node.py
@@ -5,6 +5,7 @@
 
 from . import messages as msg
 from .actions import Action, Count, Log, SendPeer
+from .claims import ClaimKeeper
 from .config import Entry
 from .events import (
     AttemptEnded,
@@ -13,6 +14,7 @@
     FirstByteWritten,
     HeadForwarded,
     HostsListed,
+    ObjectsLoaded,
     PeerBroken,
     PeerConnected,
     PeerMessage,
@@ -76,6 +78,7 @@
         "_changed",
         "_pulled_at",
         "_seen_live",
+        "claims",
         "epoch",
         "keepers",
         "planners",
@@ -92,7 +95,8 @@
         policy: KeeperPolicy | None = None,
     ) -> None:
         self.view = View(Membership(own), incarnation, rng)
-        self.requests = RequestTable(self.view)
+        self.claims = ClaimKeeper(self.view)
+        self.requests = RequestTable(self.view, self.claims)
         self.keepers = KeeperSet(self.view, policy or KeeperPolicy())
         self.planners = PlannerSet(self.view)
         self.reporter = Reporter(self.view, self.requests, self.keepers)
@@ -139,6 +143,11 @@
         """Tell whether no request is left on this host."""
         return not self.requests.requests
 
+    def busy(self) -> bool:
+        """Tell whether somebody waits here for time to pass."""
+        queued = any(keeper.queue for keeper in self.keepers.keepers.values())
+        return queued or self.claims.busy() or not self.idle()
+
     def _resolve(self, actions: Iterator[Action], now: float) -> Iterator[Action]:
         """Deliver messages to this host itself at once; pass the rest on."""
         own = self.view.own.host_id
@@ -171,6 +180,7 @@
             yield from self.keepers.review(now)
         yield from self.requests.tick(now)
         yield from self.keepers.tick(now)
+        yield from self.claims.tick(now)
         yield from self.planners.tick(now)
         yield from self.reporter.tick(now)
 
@@ -221,6 +231,12 @@
             yield from self.requests.granted(host_id, message, now)
         elif isinstance(message, msg.Denied):
             yield from self.requests.denied(host_id, message, now)
+        elif isinstance(message, msg.Claim):
+            yield from self.claims.on_claim(host_id, message, now)
+        elif isinstance(message, msg.ClaimEnded):
+            yield from self.requests.claim_ended(message, now)
+        elif isinstance(message, msg.Unclaim):
+            yield from self.claims.on_unclaim(message, now)
         elif isinstance(message, _KEEPER_MESSAGES):
             yield from self.keepers.on_message(host_id, message, now)
         elif isinstance(message, msg.Heartbeat):
@@ -323,13 +339,17 @@
         yield from self.keepers.review(now)
 
     def _write_ended(self, event: WriteEnded, now: float) -> Iterator[Action]:
-        if self.requests.owns_call(event.call_id):
-            yield from self.requests.write_ended(event, now)
+        if self.claims.owns_call(event.call_id):
+            yield from self.claims.write_ended(event, now)
         elif self.planners.owns_call(event.call_id):
             yield from self.planners.write_ended(event)
         elif self.reporter.owns_call(event.call_id):
             self.reporter.write_ended(event)
 
+    def _objects_loaded(self, event: ObjectsLoaded, now: float) -> Iterator[Action]:
+        if self.claims.owns_call(event.call_id):
+            yield from self.claims.loaded(event, now)
+
     # Requests
 
     def _request(self, event: RequestArrived, now: float) -> Iterator[Action]:
@@ -378,6 +398,7 @@
     ConfigSeen: HostCore._config_seen,
     HostsListed: HostCore._hosts_listed,
     WriteEnded: HostCore._write_ended,
+    ObjectsLoaded: HostCore._objects_loaded,
     RequestArrived: HostCore._request,
     RequestCancelled: HostCore._cancelled,
     FirstByteWritten: HostCore._first_byte,
--- a/lacewingcross/core/requests.py
+++ b/lacewingcross/core/requests.py
@@ -14,14 +14,13 @@
     Action,
     CancelAttempt,
     Count,
-    CreateObject,
-    DropClaim,
     Finish,
     SendPeer,
     StartAttempt,
 )
 from .attempts import Attempt, Ending, RetryBudget, Stage, Verdict, decide
-from .events import AttemptEnded, RequestArrived, WriteEnded
+from .claims import CLAIMED, TAKEN, ClaimKeeper, claim_id, hash_key, shard_of
+from .events import AttemptEnded, RequestArrived
 from .plan import bucket_of
 from .rendezvous import hash64
 from .resources import SteeringPolicy
@@ -39,7 +38,6 @@
 ANSWER_MARGIN_S = 0.03
 ANSWER_MARGIN_PART = 0.1
 START_PART = 0.5
-CLAIM_KIND = "KeyClaim"
 COME_BACK_S = (0.5, 2.0)
 
 _RESULTS = {
@@ -93,7 +91,7 @@
     attempt: Attempt | None = None
     attempts: int = 0
     exclude: set[str] = field(default_factory=set)
-    claim_key: str = ""
+    key_hash: str = ""
     claim: str = ""
     may_have_run: bool = False
     give_up_at: float = 0.0
@@ -106,13 +104,14 @@
     ----------
     view : View
         Shared state.
+    claims : ClaimKeeper
+        Knows who owns which shard of idempotency keys.
     """
 
     __slots__ = (
         "_budgets",
-        "_by_call",
+        "_claims",
         "_deadlines",
-        "_next_call",
         "_next_local_permit",
         "_renewed_at",
         "_waiting",
@@ -121,14 +120,13 @@
         "requests",
     )
 
-    def __init__(self, view: View) -> None:
+    def __init__(self, view: View, claims: ClaimKeeper) -> None:
         self._view = view
+        self._claims = claims
         self.requests: dict[str, RequestState] = {}
         self.last_refusals: dict[str, str] = {}
         self._budgets: dict[str, RetryBudget] = defaultdict(RetryBudget)
-        self._by_call: dict[int, RequestState] = {}
         self._deadlines: list[tuple[float, str]] = []
-        self._next_call = 0
         self._next_local_permit = 0
         self._renewed_at = float("-inf")
         self._waiting: dict[tuple[str, str], deque[tuple[RequestState, float]]] = (
@@ -158,7 +156,7 @@
         state = self._open(req, policy, region, now)
         self._budgets[req.service].earn()
         if req.key and policy.keyed and not state.repeatable:
-            yield self._claim(state)
+            yield from self._claim(state, now)
             return
         yield from self._ask(state, now)
 
@@ -195,42 +193,61 @@
 
     # Keyed requests
 
-    def _claim(self, state: RequestState) -> CreateObject:
+    def _claim(self, state: RequestState, now: float) -> Iterator[Action]:
         """Claim the idempotency key in the platform before anything is sent.
 
-        Failure: a caller that got no answer sends the same booking to a second
-        host. Only the platform is seen by both; its create fails for the second.
+        Failure: a caller that got no answer sends the same booking to a second host.
+        Only the platform is seen by both; the claim succeeds for one of them.
         """
-        self._next_call += 1
         req = state.req
-        state.phase = Phase.CLAIM
         own = self._view.own.host_id
-        state.claim = f"{own}.{self._view.incarnation}.{req.request_id}"
-        digest = f"{hash64(req.key, 'a'):016x}{hash64(req.key, 'b'):016x}"
-        state.claim_key = f"{CLAIM_KIND}/{req.service}.{digest}"
-        self._by_call[self._next_call] = state
-        return CreateObject(self._next_call, state.claim_key, {"claim": state.claim})
+        state.phase = Phase.CLAIM
+        state.key_hash = hash_key(req.service, req.key)
+        state.claim = claim_id(own, self._view.incarnation, req.request_id)
+        message = msg.Claim(req.service, req.request_id, state.key_hash, state.claim)
+        state.keeper = self._claim_owner(state, now)
+        state.asked_at = now
+        yield SendPeer(state.keeper, message)
+
+    def _review_claim(self, state: RequestState, now: float) -> Iterator[Action]:
+        """Ask again when the shard's owner changed or its answer was lost.
+
+        The claim's id is the same, so asking twice cannot make it a duplicate.
+        """
+        moved = self._claim_owner(state, now) != state.keeper
+        if moved or now - state.asked_at > ASK_AGAIN_S:
+            yield Count("retries.claim-again")
+            yield from self._claim(state, now)
 
-    def owns_call(self, call_id: int) -> bool:
-        """Tell whether a write belongs to a request."""
-        return call_id in self._by_call
+    def _claim_owner(self, state: RequestState, now: float) -> str:
+        shard = shard_of(state.key_hash)
+        return self._claims.owner_of(state.req.service, shard, now)
 
-    def write_ended(self, ended: WriteEnded, now: float) -> Iterator[Action]:
+    def claim_ended(self, ended: msg.ClaimEnded, now: float) -> Iterator[Action]:
         """Go on once a claim is decided."""
-        state = self._by_call.pop(ended.call_id)
-        if self.requests.get(state.req.request_id) is not state:
-            # Given up while the claim was on its way; nothing was sent.
-            yield DropClaim(state.claim_key, state.claim)
+        state = self.requests.get(ended.request_id)
+        waits = state is not None and state.phase is Phase.CLAIM
+        if not waits or state.claim != ended.claim:
             return
-        if ended.outcome == "ok":
+        if ended.outcome == CLAIMED:
             yield from self._ask(state, now)
-        elif ended.outcome == "conflict":
+        elif ended.outcome == TAKEN:
             # The first holder may have run it; this copy did not, but saying
             # "not run" would invite the caller to book again under a new key.
-            state.claim_key = ""
-            yield from self._finish(state, 409, UNKNOWN, "duplicate-key")
+            state.key_hash = ""
+            yield from self._finish(state, 409, UNKNOWN, "duplicate-key", now)
         else:
-            yield from self._refuse(state, "store-unavailable", self._come_back())
+            yield from self._refuse(state, "store-unavailable", self._come_back(), now)
+
+    def _unclaim(self, state: RequestState, now: float) -> Iterator[Action]:
+        """Free the key of a request that did not run.
+
+        Otherwise the caller's retry would be told that its booking is a duplicate of
+        one that never ran.
+        """
+        if state.key_hash and not state.may_have_run:
+            message = msg.Unclaim(state.req.service, state.key_hash, state.claim)
+            yield SendPeer(self._claim_owner(state, now), message)
 
     # Permits
 
@@ -239,7 +256,7 @@
         req = state.req
         remaining = state.deadline - now
         if now >= state.give_up_at:
-            yield from self._refuse(state, "deadline", self._come_back())
+            yield from self._refuse(state, "deadline", self._come_back(), now)
             return
         state.phase = Phase.PERMIT
         state.asked_at = now
@@ -315,7 +332,7 @@
             state.resume_at = now + NOT_KEEPER_PAUSE_S
             yield Count("retries.not-keeper")
             return
-        yield from self._refuse(state, no.reason, no.retry_after_s)
+        yield from self._refuse(state, no.reason, no.retry_after_s, now)
 
     def _give_back(
         self, state: RequestState, result: str, service_s: float
@@ -446,17 +463,17 @@
                 state.exclude.add(attempt.server_id)
             yield from self._ask(state, now)
             return
-        yield from self._settle(state, verdict, ended.ending)
+        yield from self._settle(state, verdict, ended.ending, now)
 
     def _settle(
-        self, state: RequestState, verdict: Verdict, ending: Ending
+        self, state: RequestState, verdict: Verdict, ending: Ending, now: float
     ) -> Iterator[Action]:
         if verdict is Verdict.REFUSE:
             reason = _REFUSAL_REASONS.get(ending, "not-sent")
-            yield from self._refuse(state, reason, self._come_back())
+            yield from self._refuse(state, reason, self._come_back(), now)
         elif verdict is Verdict.UNKNOWN:
             status = 504 if ending is Ending.TIMED_OUT else 502
-            yield from self._finish(state, status, UNKNOWN, ending.value)
+            yield from self._finish(state, status, UNKNOWN, ending.value, now)
         elif verdict is Verdict.ABORT:
             self._close(state)
             yield Count(f"aborted.{ending.value}")
@@ -468,7 +485,7 @@
     # Endings
 
     def _refuse(
-        self, state: RequestState, reason: str, retry_after_s: float
+        self, state: RequestState, reason: str, retry_after_s: float, now: float
     ) -> Iterator[Action]:
         """Refuse as not run, unless an earlier attempt may have run.
 
@@ -477,9 +494,9 @@
         """
         self.last_refusals[state.req.service] = reason
         if state.may_have_run:
-            yield from self._finish(state, 502, UNKNOWN, reason, retry_after_s)
+            yield from self._finish(state, 502, UNKNOWN, reason, now, retry_after_s)
         else:
-            yield from self._finish(state, 503, NOT_RUN, reason, retry_after_s)
+            yield from self._finish(state, 503, NOT_RUN, reason, now, retry_after_s)
 
     def _finish(
         self,
@@ -487,15 +504,14 @@
         status: int,
         outcome: str,
         reason: str,
+        now: float,
         retry_after_s: float = 0.0,
     ) -> Iterator[Action]:
         self._close(state)
         kind = "refused" if outcome == NOT_RUN else "unknown"
         yield Count(f"{kind}.{reason}")
-        if outcome == NOT_RUN and state.claim_key:
-            # The key must be free again, or the caller's retry would be told that
-            # its booking is a duplicate although it never ran.
-            yield DropClaim(state.claim_key, state.claim)
+        if outcome == NOT_RUN:
+            yield from self._unclaim(state, now)
         yield Finish(state.req.request_id, status, outcome, reason, retry_after_s)
 
     def _close(self, state: RequestState) -> None:
@@ -514,8 +530,7 @@
             yield CancelAttempt(request_id, number, Ending.CANCELLED)
             return
         self._close(state)
-        if state.claim_key and not state.may_have_run:
-            yield DropClaim(state.claim_key, state.claim)
+        yield from self._unclaim(state, now)
 
     def _withdraw(self, state: RequestState) -> Iterator[Action]:
         gone = msg.Withdraw(state.req.service, state.region, state.req.request_id)
@@ -530,6 +545,8 @@
         for state in list(self.requests.values()):
             if state.phase is Phase.PERMIT:
                 yield from self._review_wait(state, now)
+            elif state.phase is Phase.CLAIM:
+                yield from self._review_claim(state, now)
             elif state.phase is Phase.PAUSE and now >= state.resume_at:
                 yield from self._ask(state, now)
         if now - self._renewed_at >= RENEW_S:
@@ -551,9 +568,9 @@
             if state.phase is Phase.ATTEMPT and due < state.deadline:
                 heappush(self._deadlines, (state.deadline, request_id))
                 continue
-            yield from self._late(state)
+            yield from self._late(state, now)
 
-    def _late(self, state: RequestState) -> Iterator[Action]:
+    def _late(self, state: RequestState, now: float) -> Iterator[Action]:
         if state.phase is Phase.ATTEMPT:
             # The driver answers with an AttemptEnded, which settles the stage. An
             # answer already on its way to the caller is left to arrive whole.
@@ -563,7 +580,7 @@
             return
         if state.phase is Phase.PERMIT:
             yield from self._withdraw(state)
-        yield from self._refuse(state, "deadline", self._come_back())
+        yield from self._refuse(state, "deadline", self._come_back(), now)
 
     def _review_wait(self, state: RequestState, now: float) -> Iterator[Action]:
         """Ask the new keeper after a change; use the fixed share in a silence."""
--- a/lacewingcross/host/app.py
+++ b/lacewingcross/host/app.py
@@ -112,8 +112,7 @@
         core = self.runtime.core
         while True:
             self.runtime.dispatch(Tick())
-            queued = any(keeper.queue for keeper in core.keepers.keepers.values())
-            busy = queued or not core.idle()
+            busy = core.busy()
             await asyncio.sleep(BUSY_TICK_S if busy else IDLE_TICK_S)
 
     async def run(self, stop: asyncio.Event) -> None:
--- a/lacewingcross/host/platform/writes.py
+++ b/lacewingcross/host/platform/writes.py
@@ -2,14 +2,20 @@
 
 import asyncio
 
-from ...core.actions import CreateObject, DropClaim, UpdateObject
-from ...core.events import WriteEnded
+from ...core.actions import (
+    CreateObject,
+    DeleteObject,
+    LoadObjects,
+    UpdateObject,
+)
+from ...core.events import ObjectsLoaded, StoredSpec, WriteEnded
+from ...core.resources import split_key
 from ...errors import PlatformError
 from ...platform_client import PlatformClient
 from ..runtime import Runtime
 from .watch import Backoff
 
-DROP_TRIES = 60
+DELETE_TRIES = 10
 
 
 class PlatformWriter:
@@ -22,13 +28,17 @@
         self._platform = platform
         self._tasks: set[asyncio.Task[None]] = set()
         runtime.perform_with(self._begin_write, CreateObject, UpdateObject)
-        runtime.perform_with(self._begin_drop, DropClaim)
+        runtime.perform_with(self._begin_delete, DeleteObject)
+        runtime.perform_with(self._begin_load, LoadObjects)
 
     def _begin_write(self, action: CreateObject | UpdateObject) -> None:
         self._spawn(self._write(action))
 
-    def _begin_drop(self, action: DropClaim) -> None:
-        self._spawn(self._drop(action))
+    def _begin_delete(self, action: DeleteObject) -> None:
+        self._spawn(self._delete(action))
+
+    def _begin_load(self, action: LoadObjects) -> None:
+        self._spawn(self._load(action))
 
     def _spawn(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -60,15 +70,25 @@
         except PlatformError:
             return WriteEnded(action.call_id, "conflict")
 
-    async def _drop(self, action: DropClaim) -> None:
-        """Delete a claim of ours once the store answers; leave others' alone."""
+    async def _load(self, action: LoadObjects) -> None:
+        try:
+            listing = await self._platform.list(action.kind)
+            objects = [
+                StoredSpec(split_key(item.key)[1], item.version, item.spec())
+                for item in listing.objects
+                if isinstance(item.spec(), dict)
+            ]
+        except PlatformError as exc:
+            self._runtime.metrics.count(f"platform.load-{exc.code}")
+            objects = None
+        self._runtime.dispatch(ObjectsLoaded(action.call_id, objects))
+
+    async def _delete(self, action: DeleteObject) -> None:
+        """Delete an object that nothing points at; one that stays does no harm."""
         backoff = Backoff(self._runtime.core.view.rng)
-        for _ in range(DROP_TRIES):
+        for _ in range(DELETE_TRIES):
             try:
                 stored = await self._platform.get(action.key)
-                spec = stored.spec()
-                if not isinstance(spec, dict) or spec.get("claim") != action.claim:
-                    return
                 await self._platform.delete(action.key, stored.version)
                 return
             except PlatformError as exc:
--- a/lacewingcross/wire.py
+++ b/lacewingcross/wire.py
@@ -29,6 +29,9 @@
     13: msg.RegionLoad,
     14: msg.Members,
     15: msg.Reuse,
+    16: msg.Claim,
+    17: msg.ClaimEnded,
+    18: msg.Unclaim,
 }
 _CODES = {cls: code for code, cls in _TYPES.items()}
 
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,175 @@
+"""Idempotency keys: two owners, lost answers, outages; nothing is claimed twice."""
+
+import random
+from collections import Counter
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lacewingcross.core import actions as act
+from lacewingcross.core import claims as cl
+from lacewingcross.core import messages as msg
+from lacewingcross.core.events import ObjectsLoaded, StoredSpec, WriteEnded
+from lacewingcross.core.membership import HostInfo, Membership
+from lacewingcross.core.view import View
+
+OWN = HostInfo("own", "r", "d", "127.0.0.1:1", "127.0.0.1:2")
+KEYS = [cl.hash_key("s", f"key-{num}") for num in range(400)]
+SHARD = cl.shard_of(KEYS[0])
+KEYS = [key for key in KEYS if cl.shard_of(key) == SHARD][:6]
+
+
+def keeper():
+    return cl.ClaimKeeper(View(Membership(OWN), 1, random.Random(1)))
+
+
+class Owners(RuleBasedStateMachine):
+    """Two hosts that both take themselves for the owner of one shard."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.store = {}
+        self.version = 0
+        self.keepers = {"a": keeper(), "b": keeper()}
+        self.calls = {"a": [], "b": []}
+        self.asked = 0
+        self.keys = {}
+        self.outcomes = {}
+        self.freed = set()
+        self.refused = set()
+        self.writes = 0
+
+    def _take(self, name, actions):
+        for action in actions:
+            if isinstance(action, act.SendPeer):
+                message = action.message
+                if message.outcome == cl.UNAVAILABLE:
+                    # The host refuses the request and frees its key, as it must.
+                    self.refused.add(message.claim)
+                self.outcomes.setdefault(message.claim, []).append(message.outcome)
+            elif isinstance(action, act.DeleteObject):
+                self.store.pop(action.key, None)
+            elif not isinstance(action, act.Count | act.Log):
+                self.calls[name].append(action)
+
+    @rule(name=st.sampled_from("ab"), key=st.sampled_from(KEYS))
+    def claim(self, name, key):
+        self.asked += 1
+        claim = f"c{self.asked}"
+        self.keys[claim] = key
+        message = msg.Claim("s", f"r{self.asked}", key, claim)
+        self._take(name, self.keepers[name].on_claim("h", message, self.now))
+
+    @precondition(lambda self: self.keys)
+    @rule(data=st.data(), name=st.sampled_from("ab"))
+    def free(self, data, name):
+        claim = data.draw(st.sampled_from(sorted(self.keys)))
+        self.freed.add(claim)
+        message = msg.Unclaim("s", self.keys[claim], claim)
+        self._take(name, self.keepers[name].on_unclaim(message, self.now))
+
+    @rule(seconds=st.floats(0.02, 1.0))
+    def pass_time(self, seconds):
+        self.now += seconds
+        for name, owner in self.keepers.items():
+            self._take(name, owner.tick(self.now))
+
+    @precondition(lambda self: any(self.calls.values()))
+    @rule(data=st.data(), fate=st.sampled_from(["done", "done", "lost", "down"]))
+    def platform_answers(self, data, fate):
+        name = data.draw(st.sampled_from([n for n in "ab" if self.calls[n]]))
+        action = self.calls[name].pop(0)
+        if isinstance(action, act.LoadObjects):
+            objects = None if fate == "down" else self._listed()
+            event = ObjectsLoaded(action.call_id, objects)
+            self._take(name, self.keepers[name].loaded(event, self.now))
+            return
+        outcome = "unavailable" if fate == "down" else self._write(action)
+        version = self.version if outcome == "ok" else 0
+        if fate == "lost":
+            outcome = "unavailable"
+        ended = WriteEnded(action.call_id, outcome, version)
+        self._take(name, self.keepers[name].write_ended(ended, self.now))
+
+    def _listed(self):
+        return [
+            StoredSpec(key.partition("/")[2], version, spec)
+            for key, (version, spec) in self.store.items()
+        ]
+
+    def _write(self, action):
+        known = self.store.get(action.key)
+        if isinstance(action, act.CreateObject):
+            if known is not None:
+                return "conflict"
+        elif known is None or known[0] != action.if_version:
+            return "conflict"
+        self.version += 1
+        self.writes += 1
+        self.store[action.key] = (self.version, action.spec)
+        return "ok"
+
+    @invariant()
+    def a_key_is_claimed_by_one_request_unless_it_was_freed(self):
+        holders = Counter()
+        for claim, outcomes in self.outcomes.items():
+            assert len(set(outcomes)) == 1
+            if outcomes[0] == cl.CLAIMED and claim not in self.freed:
+                holders[self.keys[claim]] += 1
+        assert all(count <= 1 for count in holders.values())
+
+
+TestOwners = Owners.TestCase
+TestOwners.settings = settings(max_examples=200, stateful_step_count=50)
+
+
+class SmallHeads(Owners):
+    """The same with heads that roll into segments after two claims."""
+
+    def __init__(self):
+        super().__init__()
+        cl.HEAD_MAX = 2
+
+    def teardown(self):
+        cl.HEAD_MAX = 400
+
+
+TestSmallHeads = SmallHeads.TestCase
+TestSmallHeads.settings = settings(max_examples=100, stateful_step_count=50)
+
+
+def _serve(owner, actions, store, answers):
+    """Play a faultless platform; count its writes."""
+    todo = list(actions)
+    writes = 0
+    while todo:
+        action = todo.pop(0)
+        if isinstance(action, act.SendPeer):
+            answers.append(action.message.outcome)
+        elif isinstance(action, act.LoadObjects):
+            todo += owner.loaded(ObjectsLoaded(action.call_id, []), 0.0)
+        elif isinstance(action, act.CreateObject | act.UpdateObject):
+            writes += 1
+            store[action.key] = action.spec
+            todo += owner.write_ended(WriteEnded(action.call_id, "ok", writes), 0.0)
+    return writes
+
+
+def test_many_claims_cost_few_writes():
+    """An hourly surge of keyed bookings; the platform takes a few hundred writes."""
+    owner, store, answers = keeper(), {}, []
+    writes = 0
+    now = 0.0
+    for num in range(2_000):
+        key = cl.hash_key("s", f"surge-{num}")
+        message = msg.Claim("s", f"r{num}", key, f"c{num}")
+        writes += _serve(owner, owner.on_claim("h", message, now), store, answers)
+        now += 0.002
+        if num % 10 == 0:
+            writes += _serve(owner, owner.tick(now), store, answers)
+    writes += _serve(owner, owner.tick(now + 1.0), store, answers)
+    assert answers == [cl.CLAIMED] * 2_000
+    assert writes < 700
+    assert all(len(str(spec)) < 60_000 for spec in store.values())
