Planner judges by decaying means; drains under keeper death and outage

Ruled out: stale figures (reports came each 0.5 s). Change: hot and cool are judged on a decaying mean of the reports; room for a move takes the larger of mean and last. Before: test_one_full_reading_shifts_nothing fails on the last reading alone; after: it passes.

--- a/lacewingcross/core/planner.py
+++ b/lacewingcross/core/planner.py
@@ -16,6 +16,7 @@
 from .resources import BackendPool, ClientGroup, ShiftCap, SteeringPolicy
 
 FRESH_S = 4.0
+MEAN_GAIN = 0.3
 HOT_PART = 0.95
 COOL_PART = 0.7
 RETURN_PART = 0.6
@@ -28,19 +29,31 @@
 
 @dataclass(slots=True)
 class RegionView:
-    """The last figures on one region, and when they came."""
+    """The last figures on one region, and when they came.
+
+    Attributes
+    ----------
+    mean : float
+        Decaying mean of the demand. A single reading of a pool of a few slots jumps
+        between idle and full; judged alone it would shift traffic for nothing.
+    """
 
     load: msg.RegionLoad
     at: float
+    mean: float
     zero_since: float | None = None
 
     def demand(self) -> float:
-        """Return slots that are or would be in use."""
-        return float(self.load.in_flight + self.load.queued)
+        """Return slots that are or would be in use, the cautious one of two."""
+        return max(self.mean, _demand(self.load))
 
     def part(self) -> float:
-        """Return demand over the declared limit."""
-        return self.demand() / max(1.0, self.load.limit)
+        """Return the mean demand over the declared limit."""
+        return self.mean / max(1.0, self.load.limit)
+
+
+def _demand(load: msg.RegionLoad) -> float:
+    return float(load.in_flight + load.queued)
 
 
 @dataclass(slots=True)
@@ -103,12 +116,13 @@
     def on_load(self, load: msg.RegionLoad, now: float) -> None:
         """Take in a keeper's figures."""
         known = self.regions.get(load.region)
-        zero_since = None
-        if load.limit <= 0:
-            zero_since = now
-            if known is not None and known.zero_since is not None:
+        mean = _demand(load)
+        zero_since = now if load.limit <= 0 else None
+        if known is not None and now - known.at <= FRESH_S:
+            mean = known.mean + MEAN_GAIN * (mean - known.mean)
+            if zero_since is not None and known.zero_since is not None:
                 zero_since = known.zero_since
-        self.regions[load.region] = RegionView(load, now, zero_since)
+        self.regions[load.region] = RegionView(load, now, mean, zero_since)
 
     def lost(self, now: float) -> frozenset[str]:
         """Return the regions whose keeper reports no usable server for a while.
--- a/lacewingcross/host/entry/listener.py
+++ b/lacewingcross/host/entry/listener.py
@@ -62,6 +62,7 @@
             self._handle,
             runtime.now,
             max_connections=cfg.max_connections,
+            max_connections_each=cfg.max_connections_each,
             fast_path=self._lookups,
             on_bad_input=self._bad_input,
         )
--- a/lacewingcross/http1_server.py
+++ b/lacewingcross/http1_server.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 server connections on h11, with backpressure and bounded waits."""
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -203,8 +203,9 @@
         peer = transport.get_extra_info("peername")
         self._client = peer[0] if peer else ""
         self._touch()
-        if not self._server.admit(self):
-            self._refuse(503, "too-many-connections")
+        reason = self._server.admit(self, self._client)
+        if reason:
+            self._refuse(503, reason)
 
     def data_received(self, data: bytes) -> None:
         """Answer a known look-up at once; give anything else to h11."""
@@ -231,7 +232,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the exchange that its caller has gone."""
         self.lost = True
-        self._server.forget(self)
+        self._server.forget(self, self._client)
         if self._drain is not None and not self._drain.done():
             self._drain.set_result(None)
         if self.exchange is not None:
@@ -452,6 +453,8 @@
         Monotonic clock in seconds.
     max_connections : int, default=4000
         Connections above this number are refused with 503.
+    max_connections_each : int, default=4000
+        The same for the connections of one client address.
     fast_path : FastPath, optional
         Answers for byte-identical requests.
     on_bad_input : callable, optional
@@ -464,11 +467,14 @@
         now: Callable[[], float],
         *,
         max_connections: int = 4000,
+        max_connections_each: int = 4000,
         fast_path: FastPath | None = None,
         on_bad_input: Callable[[str], None] | None = None,
     ) -> None:
         self._handler = handler
         self._max = max_connections
+        self._max_each = max_connections_each
+        self._by_client: Counter[str] = Counter()
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
@@ -491,14 +497,22 @@
         self._sweeper = loop.create_task(self._sweep())
         return self._server.sockets[0].getsockname()[1]
 
-    def admit(self, conn: ServerConnection) -> bool:
-        """Count a connection; return whether it may stay."""
+    def admit(self, conn: ServerConnection, client: str) -> str:
+        """Count a connection; return why it may not stay, or an empty string."""
         self._connections.add(conn)
-        return len(self._connections) <= self._max
-
-    def forget(self, conn: ServerConnection) -> None:
+        self._by_client[client] += 1
+        if len(self._connections) > self._max:
+            return "too-many-connections"
+        if self._by_client[client] > self._max_each:
+            return "too-many-from-caller"
+        return ""
+
+    def forget(self, conn: ServerConnection, client: str) -> None:
         """Stop counting a connection."""
         self._connections.discard(conn)
+        self._by_client[client] -= 1
+        if self._by_client[client] <= 0:
+            del self._by_client[client]
 
     @property
     def connections(self) -> int:
--- a/lacewingcross/settings.py
+++ b/lacewingcross/settings.py
@@ -1,7 +1,7 @@
 """Settings files: JSON, checked, one for each process."""
 
 import json
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, fields
 from pathlib import Path
 
 from . import logs
@@ -39,6 +39,7 @@
     log_level: str = "INFO"
     trust_client_address: bool = False
     max_connections: int = 4000
+    max_connections_each: int = 1000
     max_body_bytes: int = 1 << 31
     tls: TlsSettings = TlsSettings()
 
@@ -139,6 +140,7 @@
         log_level=reader.text("log_level", "INFO", logs.LEVELS),
         trust_client_address=reader.boolean("trust_client_address", False),
         max_connections=reader.integer("max_connections", 4000, low=1),
+        max_connections_each=reader.integer("max_connections_each", 1000, low=1),
         max_body_bytes=reader.integer("max_body_bytes", 1 << 31, low=0, high=1 << 40),
         tls=_read_tls(reader),
     )
@@ -197,8 +199,10 @@
 def as_data(
     cfg: HostSettings | PlatformSettings | BackendSettings,
 ) -> dict[str, object]:
-    """Return settings as the JSON data that their loader reads."""
-    data = asdict(cfg)
-    unset = ("", (), asdict(TlsSettings()))
-    data = {key: value for key, value in data.items() if value not in unset}
-    return json.loads(json.dumps(data))
+    """Return settings as the JSON data that their loader reads, defaults left out."""
+    default = {item.name: item.default for item in fields(cfg)}
+    values = asdict(cfg)
+    given = {
+        name: values[name] for name in values if getattr(cfg, name) != default[name]
+    }
+    return json.loads(json.dumps(given))
--- a/tests/test_leaving_processes.py
+++ b/tests/test_leaving_processes.py
@@ -102,6 +102,47 @@
     _check(asyncio.run(_drain_three_ways("list")))
 
 
+async def _drain_while(disturb):
+    async with Processes(small_layout()) as procs:
+        server = procs.layout.backends[0].server_id
+
+        async def drain():
+            await procs.operator.apply(Document("Drain", "d", {"server": server}))
+            await until(lambda: _leaving_seen(procs, server))
+            await disturb(procs)
+
+        return await _under_load(procs, drain)
+
+
+async def _kill_keeper(procs):
+    for cfg in procs.layout.hosts:
+        status = await procs.fetch(cfg.operators, "/status")
+        if any(keeper["region"] == "north" for keeper in status["keepers"]):
+            procs.kill(cfg.host_id)
+            procs.spawn(cfg.host_id, ["host"], cfg)
+            return
+
+
+async def _platform_goes(procs):
+    await procs.faults(outage=True)
+
+
+def test_drain_holds_when_the_slot_keeper_dies():
+    """A backend server drains; then the host that keeps its region's slots dies.
+
+    What a user would see: the successor gives the leaving server new work, which is
+    cut when it stops.
+    """
+    answers, settled, later, ledger = asyncio.run(_drain_while(_kill_keeper))
+    assert later == settled
+    assert ledger["busy"] == 0
+
+
+def test_drain_holds_through_a_platform_outage():
+    """A drain is accepted; then the platform goes away."""
+    _check(asyncio.run(_drain_while(_platform_goes)))
+
+
 async def _upload_through_shutdown():
     async with Processes(small_layout()) as procs:
         caller = Caller(procs.entries(), caller_id="yard", address="10.1.0.1")
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -149,3 +149,21 @@
         planner.on_load(load(reg, 10), 12.0)
     lower = ShiftCap("s", 0.05, 10.0)
     assert planner.step(step.plan, given({"b": 1.0}, cap=lower), 12.0) is None
+
+
+def test_one_full_reading_shifts_nothing_but_lasting_pressure_does():
+    """A small pool is full for a moment, again and again, on an ordinary hour.
+
+    What a user would see: traffic moved to cold caches and back for nothing.
+    """
+    planner = planner_with([load(reg, 40) for reg in REGIONS], 10.0)
+    planner.on_load(load("a", 100, queued=20), 10.5)
+    assert planner.step(all_at("a"), given({"a": 1.0}), 10.6) is None
+    at = 10.5
+    while (step := planner.step(all_at("a"), given({"a": 1.0}), at)) is None:
+        at += 0.5
+        assert at < 20.0
+        for reg in REGIONS:
+            planner.on_load(load(reg, 100 if reg == "a" else 40, queued=0), at)
+        planner.on_load(load("a", 100, queued=20), at)
+    assert step.cause == "headroom"
