Client blocks as packed shards in the platform

Cause: 160,000 blocks as networks in a policy are over the platform's 1 MB for one object and took 2.4 s of processor time to index, in one go, on every host. Ruled out: one packed object for all (fits only just; each change rewrites it). Change: BlockTable shards of up to 40,000 packed starts, made by pack-blocks; a policy names its table. Hosts decode arrays, no object for each block.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from .fit import Slope
-from .slopes import RESULT
+from .slopes import RESULT, SHARD_BLOCKS
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 NODES = 4_500
@@ -154,10 +154,13 @@
         )
     whole_pool = site_us * SITES / 1e3
     block_build = slopes["block_build_us"].at(BLOCKS) / 1e6
+    shard = slopes["table_decode_us"].at(SHARD_BLOCKS) / 1e3
     lines.append("")
     lines.append(
-        f"A pool of all {SITES} sites takes {whole_pool:.0f} ms to read at once; "
-        f"{BLOCKS} blocks take {block_build:.2f} s to index at once."
+        f"A pool of all {SITES} sites takes {whole_pool:.0f} ms to read at once. "
+        f"{BLOCKS} blocks take {block_build:.2f} s to index from networks, which is "
+        f"done once by pack-blocks; a host reads a packed shard of {SHARD_BLOCKS} in "
+        f"{shard:.0f} ms."
     )
     return "\n".join(lines)
 
@@ -245,19 +248,19 @@
 def replacement_table(measured: Measured) -> str:
     """Return what a replaced node needs before it serves."""
     slopes = measured.slopes
-    blocks = slopes["block_bytes"].at(BLOCKS)
+    blocks = BLOCKS / SHARD_BLOCKS * slopes["table_stored_bytes"].at(SHARD_BLOCKS)
     sites = slopes["site_stored_bytes"].at(SITES)
     plans = SERVICES * slopes["plan_bytes"].at(REGIONS)
     hosts = NODES * HOST_ENTRY_BYTES
     total = blocks + sites + plans + hosts
     parse_s = (
-        slopes["block_build_us"].at(BLOCKS)
+        BLOCKS / SHARD_BLOCKS * slopes["table_decode_us"].at(SHARD_BLOCKS)
         + slopes["site_parse_us"].at(SITES)
         + slopes["host_list_us"].at(NODES)
     ) / 1e6
     lines = ["| part of a snapshot | KB |", "|---|---|"]
     for name, size in (
-        ("blocks, packed", blocks),
+        ("blocks, packed shards", blocks),
         ("sites, JSON", sites),
         ("plans, runs", plans),
         ("hosts", hosts),
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from lacewingcross import wire
+from lacewingcross.cli.blocks import shards
 from lacewingcross.core import messages as msg
 from lacewingcross.core.blocks import BlockIndex
 from lacewingcross.core.config import Config, Entry
@@ -35,6 +36,7 @@
 
 RESULT = Path(__file__).parent / "results" / "slopes.json"
 BLOCK_SIZES = (10_000, 40_000, 80_000, 160_000)
+TABLE_SIZES = (5_000, 10_000, 20_000, 39_000)
 SITE_SIZES = (500, 1_000, 2_000, 4_200)
 PEER_SIZES = (8, 16, 32, 64)
 REGION_SIZES = (4, 14, 28, 56)
@@ -84,6 +86,20 @@
     return {"block_build_us": build, "block_bytes": size, "block_find_us": find}
 
 
+def table_slopes() -> dict[str, list[tuple[float, float]]]:
+    """Return decoding time and stored size of packed shards against their blocks."""
+    decode, stored = [], []
+    for count in TABLE_SIZES:
+        pairs = [(net, f"group-{group}") for net, group in networks(count)]
+        (item,) = list(shards(pairs, "clients"))
+        text = encode_value({"spec": item["spec"]})
+        stored.append((count, len(text)))
+        entry = Entry(f"BlockTable/{item['name']}", 1, text)
+        seconds, _ = cpu_of(_merge_one, entry)
+        decode.append((count, seconds * 1e6))
+    return {"table_decode_us": decode, "table_stored_bytes": stored}
+
+
 def servers(count: int) -> tuple[BackendServer, ...]:
     """Return `count` backend servers over all regions."""
     return tuple(
@@ -322,6 +338,7 @@
 def main() -> None:
     """Measure everything and write the JSON file."""
     points = block_slopes()
+    points.update(table_slopes())
     points.update(site_slopes())
     points.update(fleet_slopes())
     points.update(change_slopes())
--- /dev/null
+++ b/lacewingcross/cli/blocks.py
@@ -0,0 +1,65 @@
+"""The command that packs client blocks into shards."""
+
+import json
+from collections.abc import Iterator
+from ipaddress import IPv4Address
+from pathlib import Path
+
+from ..core.blocks import BlockIndex, pack
+from ..core.resources import BLOCKS, is_network
+from ..errors import UserError
+
+SHARD_BLOCKS = 40_000
+
+
+def pack_blocks(file: str, *, table: str, to: str) -> None:
+    """Pack a list of client blocks into resources for "apply -f".
+
+    Example: lacewingcross pack-blocks clients.csv --table clients --to clients.json
+
+    Parameters
+    ----------
+    file : str
+        Lines of NETWORK,GROUP such as 10.1.0.0/16,centro; the more specific network
+        wins.
+    table : str
+        Name that policies give as block_table.
+    to : str
+        Where the resources go.
+    """
+    items = list(shards(list(_read(file)), table))
+    Path(to).write_text(json.dumps({"items": items}) + "\n", encoding="utf-8")
+    print(f"{to}: {len(items)} shards written")
+
+
+def shards(pairs: list[tuple[str, str]], table: str) -> Iterator[dict[str, object]]:
+    """Yield the resources of a table, each with at most `SHARD_BLOCKS` starts."""
+    groups = sorted({group for _, group in pairs})
+    numbers = {group: number for number, group in enumerate(groups)}
+    index = BlockIndex((network, numbers[group]) for network, group in pairs)
+    spans = list(index.spans())
+    for number, at in enumerate(range(0, len(spans), SHARD_BLOCKS)):
+        part = spans[at : at + SHARD_BLOCKS]
+        spec = {
+            "first": str(IPv4Address(part[0][0])),
+            "groups": groups,
+            "starts": pack("I", [start for start, _ in part]),
+            "members": pack("H", [member for _, member in part]),
+        }
+        yield {"kind": BLOCKS, "name": f"{table}-{number:04d}", "spec": spec}
+
+
+def _read(file: str) -> Iterator[tuple[str, str]]:
+    try:
+        lines = Path(file).read_text(encoding="utf-8").splitlines()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise UserError("unreadable", f"{file}: {exc}") from exc
+    for number, line in enumerate(lines, 1):
+        if not line.strip():
+            continue
+        network, _, group = (part.strip() for part in line.partition(","))
+        if not is_network(network) or not group:
+            raise UserError(
+                "bad-field", f"{file}:{number}: expected NETWORK,GROUP, got {line!r}"
+            )
+        yield network, group
--- a/lacewingcross/cli/main.py
+++ b/lacewingcross/cli/main.py
@@ -7,6 +7,7 @@
 from .. import __version__
 from ..errors import UserError
 from . import daemons, resources
+from .blocks import pack_blocks
 from .demo import demo
 from .examples import example
 from .reports import report
@@ -29,6 +30,7 @@
     "explain": resources.explain,
     "export": resources.export,
     "check-config": resources.check_config,
+    "pack-blocks": pack_blocks,
     "report": report,
     "example": example,
     "demo": demo,
--- a/lacewingcross/core/blocks.py
+++ b/lacewingcross/core/blocks.py
@@ -1,8 +1,10 @@
 """Client blocks in packed arrays: from an address to the index of its group."""
 
+import sys
 from array import array
+from base64 import b64decode, b64encode
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Sequence
 from ipaddress import IPv4Address, IPv4Network
 
 NO_GROUP = 0xFFFF
@@ -54,6 +56,18 @@
         self._starts.append(start)
         self._groups.append(group)
 
+    @classmethod
+    def from_arrays(cls, starts: array, groups: array) -> "BlockIndex":
+        """Return an index over arrays that are sorted by start already."""
+        index = cls(())
+        index._starts = starts
+        index._groups = groups
+        return index
+
+    def spans(self) -> Iterator[tuple[int, int]]:
+        """Yield (start, group index) in order."""
+        yield from zip(self._starts, self._groups, strict=True)
+
     def __len__(self) -> int:
         return len(self._starts)
 
@@ -64,7 +78,8 @@
 
     def find(self, address: int) -> int:
         """Return the group index of an IPv4 address, or NO_GROUP."""
-        return self._groups[bisect_right(self._starts, address) - 1]
+        place = bisect_right(self._starts, address) - 1
+        return self._groups[place] if place >= 0 else NO_GROUP
 
 
 def parse_address(text: str) -> int | None:
@@ -73,3 +88,26 @@
         return int(IPv4Address(text))
     except ValueError:
         return None
+
+
+def pack(typecode: str, numbers: Sequence[int]) -> str:
+    """Return numbers as base64 of a big-endian array (``I`` 32 bits, ``H`` 16)."""
+    packed = array(typecode, numbers)
+    if sys.byteorder == "little":
+        packed.byteswap()
+    return b64encode(packed.tobytes()).decode()
+
+
+def unpack(typecode: str, text: str) -> array:
+    """Return the array in what `pack` made.
+
+    Raises
+    ------
+    ValueError
+        When the text is not base64 of whole numbers.
+    """
+    numbers = array(typecode)
+    numbers.frombytes(b64decode(text, validate=True))
+    if sys.byteorder == "little":
+        numbers.byteswap()
+    return numbers
--- a/lacewingcross/core/config.py
+++ b/lacewingcross/core/config.py
@@ -1,6 +1,7 @@
 """The configuration in force: versioned entries that only ever move up."""
 
 import json
+from bisect import bisect_right
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -9,7 +10,7 @@
 from .blocks import BlockIndex
 from .plan import Plan, decode_plan
 
-CONFIG_KINDS = (res.POLICY, res.CAP, res.POOL, res.DRAIN, res.PLAN)
+CONFIG_KINDS = (res.POLICY, res.CAP, res.POOL, res.DRAIN, res.BLOCKS, res.PLAN)
 
 
 @dataclass(slots=True, frozen=True)
@@ -38,6 +39,8 @@
     drains: dict[str, res.Drain] = field(default_factory=dict)
     plans: dict[str, Plan] = field(default_factory=dict)
     plan_versions: dict[str, int] = field(default_factory=dict)
+    shards: dict[str, res.BlockTable] = field(default_factory=dict)
+    tables: dict[str, list[res.BlockTable]] = field(default_factory=dict)
     blocks: dict[str, BlockIndex] = field(default_factory=dict)
     rejected: dict[str, str] = field(default_factory=dict)
 
@@ -100,6 +103,8 @@
         self._table(kind)[name] = resource
         if kind == res.POLICY:
             self._index_blocks(resource)
+        elif kind == res.BLOCKS:
+            self._order_shards(resource.table)
 
     def _index_blocks(self, policy: res.SteeringPolicy) -> None:
         self.blocks[policy.service] = BlockIndex(
@@ -108,6 +113,10 @@
             for block in group.blocks
         )
 
+    def _order_shards(self, table: str) -> None:
+        shards = [shard for shard in self.shards.values() if shard.table == table]
+        self.tables[table] = sorted(shards, key=lambda shard: shard.first)
+
     def _forget(self, kind: str, name: str) -> None:
         self.rejected.pop(res.object_key(kind, name), None)
         if kind == res.PLAN:
@@ -117,9 +126,11 @@
         if kind not in CONFIG_KINDS:
             # A newer host may pass on kinds that this one does not know.
             return
-        self._table(kind).pop(name, None)
+        known = self._table(kind).pop(name, None)
         if kind == res.POLICY:
             self.blocks.pop(name, None)
+        elif kind == res.BLOCKS and known is not None:
+            self._order_shards(known.table)
 
     def _table(self, kind: str) -> dict[str, res.Resource]:
         tables = {
@@ -127,6 +138,7 @@
             res.CAP: self.caps,
             res.POOL: self.pools,
             res.DRAIN: self.drains,
+            res.BLOCKS: self.shards,
         }
         if kind not in tables:
             raise ResourceError("bad-kind", f"{kind!r} is not a configuration kind")
@@ -137,6 +149,10 @@
         policy = self.policies.get(service)
         if policy is None:
             return None
+        if address is not None and policy.block_table:
+            group = self._table_group(policy.block_table, address)
+            if any(group == known.name for known in policy.groups):
+                return group
         index = 0
         if address is not None:
             index = self.blocks[service].find(address)
@@ -144,6 +160,11 @@
             index = 0
         return policy.groups[index].name
 
+    def _table_group(self, table: str, address: int) -> str:
+        shards = self.tables.get(table, [])
+        place = bisect_right(shards, address, key=lambda shard: shard.first) - 1
+        return shards[place].group(address) if place >= 0 else ""
+
     def drained_regions(self, service: str) -> frozenset[str]:
         """Return the regions that a planned drain empties for `service`."""
         return frozenset(
--- a/lacewingcross/core/resources.py
+++ b/lacewingcross/core/resources.py
@@ -2,17 +2,22 @@
 
 import ipaddress
 import json
+from array import array
 from dataclasses import dataclass, field
+from itertools import islice
+from operator import ge
 
 from ..checks import Reader
 from ..errors import ResourceError
+from .blocks import NO_GROUP, BlockIndex, parse_address, unpack
 
 POLICY = "SteeringPolicy"
 CAP = "ShiftCap"
 POOL = "BackendPool"
 DRAIN = "Drain"
+BLOCKS = "BlockTable"
 PLAN = "Plan"
-OPERATOR_KINDS = (POLICY, CAP, POOL, DRAIN)
+OPERATOR_KINDS = (POLICY, CAP, POOL, DRAIN, BLOCKS)
 RESERVED_NAMES = ("v1",)
 ALL_CLIENTS = "*"
 DRAIN_TARGETS = ("server", "region", "failure_domain", "host")
@@ -43,6 +48,7 @@
     lookup_ttl_s: float = DEFAULT_LOOKUP_TTL_S
     non_repeatable: tuple[str, ...] = ("POST", "PATCH")
     keyed: bool = True
+    block_table: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,7 +119,32 @@
     service: str = ""
 
 
-Resource = SteeringPolicy | ShiftCap | BackendPool | Drain
+@dataclass(slots=True, frozen=True)
+class BlockTable:
+    """One shard of a table of client blocks: the part from `first` on.
+
+    A policy names the table; its shards are all those whose name is the table's, a
+    dash and something. So a large table fits the platform's limit for one object, and
+    a change rebuilds one shard only.
+    """
+
+    name: str
+    first: int
+    groups: tuple[str, ...]
+    index: BlockIndex
+
+    @property
+    def table(self) -> str:
+        """Return the name of the table that this is a shard of."""
+        return self.name.rpartition("-")[0]
+
+    def group(self, address: int) -> str:
+        """Return the group of an address, or an empty string."""
+        number = self.index.find(address)
+        return self.groups[number] if number < len(self.groups) else ""
+
+
+Resource = SteeringPolicy | ShiftCap | BackendPool | Drain | BlockTable
 
 
 def parse(kind: str, name: str, spec: object, where: str = "resource") -> Resource:
@@ -153,6 +184,17 @@
     return resource
 
 
+def is_network(value: object) -> bool:
+    """Tell whether `value` is an IPv4 network such as ``10.1.0.0/16``."""
+    if not isinstance(value, str) or "/" not in value:
+        return False
+    try:
+        ipaddress.IPv4Network(value)
+    except ValueError:
+        return False
+    return True
+
+
 def _parse_group(reader: Reader) -> ClientGroup:
     name = reader.name("name")
     blocks = []
@@ -160,10 +202,9 @@
     if not isinstance(raw, list):
         raise reader.fail("blocks", "a list of networks like 10.1.0.0/16", raw)
     for block in raw:
-        try:
-            blocks.append(str(ipaddress.IPv4Network(block)))
-        except (ValueError, TypeError):
-            raise reader.fail("blocks", "networks like 10.1.0.0/16", block) from None
+        if not is_network(block):
+            raise reader.fail("blocks", "networks like 10.1.0.0/16", block)
+        blocks.append(block)
     weights = reader.weights("weights")
     if not any(weight > 0 for weight in weights.values()):
         raise reader.fail("weights", "at least one weight above 0", weights)
@@ -187,6 +228,7 @@
         lookup_ttl_s=reader.number("lookup_ttl_s", DEFAULT_LOOKUP_TTL_S, low=0.1),
         non_repeatable=tuple(method.upper() for method in methods),
         keyed=reader.boolean("keyed", True),
+        block_table=reader.name("block_table", ""),
     )
 
 
@@ -228,7 +270,36 @@
     return Drain(name, named[0], value, reader.name("service", ""))
 
 
+def _parse_blocks(name: str, reader: Reader) -> BlockTable:
+    if not name.rpartition("-")[0]:
+        raise reader.fail("", "a name like TABLE-SHARD", name)
+    first = parse_address(reader.text("first"))
+    if first is None:
+        raise reader.fail("first", "an IPv4 address", reader.text("first"))
+    groups = tuple(reader.names("groups"))
+    starts = _unpacked(reader, "starts", "I")
+    members = _unpacked(reader, "members", "H")
+    if len(starts) != len(members) or not starts:
+        raise reader.fail(
+            "members", f"{len(starts)} members, one a start", len(members)
+        )
+    if starts[0] != first or any(map(ge, starts, islice(starts, 1, None))):
+        raise reader.fail("starts", "rising starts from first on", "others")
+    if any(member >= len(groups) and member != NO_GROUP for member in set(members)):
+        raise reader.fail("members", "members below the number of groups", "others")
+    return BlockTable(name, first, groups, BlockIndex.from_arrays(starts, members))
+
+
+def _unpacked(reader: Reader, field_name: str, typecode: str) -> array:
+    try:
+        return unpack(typecode, reader.text(field_name))
+    except ValueError as exc:
+        expected = "base64 of big-endian numbers"
+        raise reader.fail(field_name, expected, str(exc)) from None
+
+
 _PARSERS = {
+    BLOCKS: _parse_blocks,
     POLICY: _parse_policy,
     CAP: _parse_cap,
     POOL: _parse_pool,
