Refusals reach callers that still send; small bodies before slots; commands tested

Change: the rest of an unwanted body is read and dropped for five seconds; bodies declared under 64 KB are read before a slot is asked for; the body is invited when it is first read; get and watch take names as arguments.

--- a/lacewingcross/cli/resources.py
+++ b/lacewingcross/cli/resources.py
@@ -84,9 +84,7 @@
         print(f"in force on {len(state.live)} hosts version={newest}")
 
 
-def get(
-    kind: str, name: str = "", *, platform: str = "", output: Output = "table"
-) -> None:
+def get(kind: str, *names: str, platform: str = "", output: Output = "table") -> None:
     """Show stored resources.
 
     Example: lacewingcross get shiftcap calendar --output json
@@ -95,22 +93,27 @@
     ----------
     kind : str
         SteeringPolicy, ShiftCap, BackendPool, Drain, Plan or Report.
-    name : str
-        Only this one.
+    *names : str
+        Only these.
     platform : str
         IP:PORT of the platform.
     output
         Form of the output.
     """
-    run(_get(_operator(platform), _kind(kind), name, output))
+    run(_get(_operator(platform), _kind(kind), names, output))
 
 
-async def _get(operator: Operator, kind: str, name: str, output: Output) -> None:
+async def _get(
+    operator: Operator, kind: str, names: tuple[str, ...], output: Output
+) -> None:
     items = await operator.resources(kind)
-    if name:
-        items = [item for item in items if item.key == res.object_key(kind, name)]
-        if not items:
-            raise UserError("not-found", f"{kind}/{name}: no such resource")
+    if names:
+        by_key = {item.key: item for item in items}
+        wanted = [res.object_key(kind, name) for name in names]
+        for key in wanted:
+            if key not in by_key:
+                raise UserError("not-found", f"{key}: no such resource")
+        items = [by_key[key] for key in wanted]
     if output == "json":
         print_json({"items": [_item(item) for item in items]})
         return
@@ -130,20 +133,20 @@
     return text if len(text) <= 60 else text[:57] + "..."
 
 
-def watch(kind: str = "", *, platform: str = "") -> None:
+def watch(*kinds: str, platform: str = "") -> None:
     """Print resources and every change to them until interrupted.
 
     Example: lacewingcross watch drain
 
     Parameters
     ----------
-    kind : str
-        Only this kind; by default all kinds that operators write, and plans.
+    *kinds : str
+        Only these kinds; by default all that operators write, and plans.
     platform : str
         IP:PORT of the platform.
     """
-    kinds = (_kind(kind),) if kind else (*res.OPERATOR_KINDS, res.PLAN)
-    run(_watch(_operator(platform), kinds))
+    known = tuple(_kind(kind) for kind in kinds)
+    run(_watch(_operator(platform), known or (*res.OPERATOR_KINDS, res.PLAN)))
 
 
 async def _watch(operator: Operator, kinds: tuple[str, ...]) -> None:
--- a/lacewingcross/host/entry/attempt.py
+++ b/lacewingcross/host/entry/attempt.py
@@ -26,6 +26,18 @@
     size: int = 0
     replayable: bool = True
 
+    async def gather(self) -> None:
+        """Read the whole body, when it is declared small, before a slot is asked for.
+
+        Failure: a caller sends a few bytes and stalls; with its request already at a
+        backend server it would hold a slot for as long as it likes.
+        """
+        length = hd.find(self.exchange.head.headers, hd.CONTENT_LENGTH)
+        if not length or int(length) > REPLAY_MAX:
+            return
+        while data := await self.exchange.read():
+            self._keep(data)
+
     async def send_to(self, conn: ClientConnection) -> None:
         """Send the kept part, then the rest as it arrives, and end the request."""
         for data in self.kept:
--- a/lacewingcross/host/entry/flight.py
+++ b/lacewingcross/host/entry/flight.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 from ... import headers as hd
 from ...checks import is_name
@@ -15,6 +16,7 @@
 
 MAX_ID = 128
 MAX_KEY = 256
+MIN_REMAINING_S = 0.001
 
 
 class FrameError(Exception):
@@ -119,8 +121,14 @@
 
     async def fly(self) -> None:
         """Run the request to its end."""
-        self._exchange.on_gone = self._caller_gone
         started = self._runtime.now()
+        if self._req.service in self._runtime.core.view.config.policies:
+            await self._body.gather()
+        waited = self._runtime.now() - started
+        if self._req.remaining_s:
+            left = max(MIN_REMAINING_S, self._req.remaining_s - waited)
+            self._req = replace(self._req, remaining_s=left)
+        self._exchange.on_gone = self._caller_gone
         self._runtime.dispatch(self._req)
         while self._req.request_id in self._runtime.core.requests.requests:
             await self._carry_out(await self._decisions.get())
--- a/lacewingcross/http1_server.py
+++ b/lacewingcross/http1_server.py
@@ -15,6 +15,7 @@
 HEAD_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
 STALL_TIMEOUT_S = 30.0
+DISCARD_S = 5.0
 SWEEP_S = 1.0
 HIGH_WATER = 64 * 1024
 LOW_WATER = 16 * 1024
@@ -84,6 +85,7 @@
                 return b""
             if self.gone:
                 raise CallerGoneError
+            self._conn.invite_body()
             self._conn.pull()
             if self._body or self._ended:
                 continue
@@ -168,6 +170,7 @@
     __slots__ = (
         "_body_size",
         "_client",
+        "_discard_until",
         "_drain",
         "_h11",
         "_held",
@@ -187,6 +190,7 @@
         self._drain: asyncio.Future[None] | None = None
         self._reading_paused = False
         self._held = b""
+        self._discard_until = 0.0
         self._body_size = 0
         self._task: asyncio.Task[None] | None = None
         self.exchange: Exchange | None = None
@@ -290,6 +294,8 @@
             self.exchange.feed(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage) and self.exchange is not None:
             self.exchange.end_of_body()
+        elif isinstance(event, h11.EndOfMessage) and self._discard_until:
+            self._next_cycle()
 
     def _begin(self, event: h11.Request) -> None:
         head = RequestHead(
@@ -304,9 +310,6 @@
             # the other one, and the rest of the body would pass as a new request.
             self._refuse(400, "ambiguous-length")
             return
-        if self._h11.they_are_waiting_for_100_continue:
-            proceed = h11.InformationalResponse(status_code=100, headers=[])
-            self.transport.write(self._h11.send(proceed))
         self._body_size = 0
         self.exchange = Exchange(self, head)
         loop = asyncio.get_running_loop()
@@ -340,6 +343,16 @@
             pass
         self.transport.close()
 
+    def invite_body(self) -> None:
+        """Tell a caller that waits for it to send its body.
+
+        Only when somebody is about to read it: a request that is refused at once is
+        spared the upload.
+        """
+        if self._h11.they_are_waiting_for_100_continue and not self.lost:
+            proceed = h11.InformationalResponse(status_code=100, headers=[])
+            self.transport.write(self._h11.send(proceed))
+
     # Sending
 
     def send(self, event: h11.Event) -> None:
@@ -375,12 +388,23 @@
         self._task = None
         self._body_size = 0
         self._touch()
-        done = (h11.DONE, h11.DONE)
-        if (self._h11.our_state, self._h11.their_state) != done:
-            # The caller still sends a body that nobody will read: the rest of it
-            # must not be taken for the next request.
+        states = (self._h11.our_state, self._h11.their_state)
+        if states == (h11.DONE, h11.SEND_BODY):
+            # The caller still sends a body that nobody wants. Closing now would reset
+            # the connection, and the caller would lose the answer that is on its way
+            # to it, such as the proof that nothing ran. So the rest is read and
+            # dropped for a while.
+            self._discard_until = self._server.now() + DISCARD_S
+            self._resume_reading()
+            self.pull()
+            return
+        if states != (h11.DONE, h11.DONE):
             self.transport.close()
             return
+        self._next_cycle()
+
+    def _next_cycle(self) -> None:
+        self._discard_until = 0.0
         self._h11.start_next_cycle()
         if self._server.closing:
             self.transport.close()
@@ -426,6 +450,10 @@
         for its backend server is not a stall: then it is not the caller's turn.
         """
         quiet = now - self.last_progress
+        if self._discard_until:
+            if now > self._discard_until:
+                self.transport.close()
+            return
         if self.exchange is None:
             begun = bool(self._h11.trailing_data[0])
             limit = HEAD_TIMEOUT_S if begun else IDLE_TIMEOUT_S
--- a/tests/test_bodies_processes.py
+++ b/tests/test_bodies_processes.py
@@ -58,3 +58,89 @@
     assert answer.outcome == ANSWERED
     assert f'"body_bytes": {len(PART) * PARTS}'.encode() in answer.body
     assert all(size <= GROWTH_BYTES for size in growth.values()), growth
+
+
+async def _refused_upload():
+    async with Processes(small_layout()) as procs:
+        host, _, port = procs.entries()[0].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        size = 20_000_000
+        head = f"PUT /nobody/x HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n"
+        writer.write(head.encode())
+        for _ in range(size // len(PART)):
+            writer.write(PART)
+            await writer.drain()
+        answer = await reader.read(200)
+        target = b"/v1/lookup?service=booking&caller=c"
+        writer.write(b"GET " + target + b" HTTP/1.1\r\nHost: a\r\n\r\n")
+        await reader.readuntil(b"HTTP/1.1 ")
+        again = await reader.read(3)
+        writer.close()
+        return answer, again
+
+
+def test_refusal_reaches_a_caller_that_is_still_sending():
+    """A caller sends its whole upload before it reads anything; it was refused early.
+
+    What a user would see: a reset connection and an unknown outcome, in place of the
+    proof that nothing ran.
+    """
+    answer, again = asyncio.run(_refused_upload())
+    assert answer.startswith(b"HTTP/1.1 404")
+    assert again == b"200"
+
+
+async def _expecting():
+    async with Processes(small_layout()) as procs:
+        host, _, port = procs.entries()[0].rpartition(":")
+        answers = []
+        for service in ("nobody", "booking"):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            head = (
+                f"PUT /{service}/x HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+                "X-Client-Address: 10.1.0.1\r\nExpect: 100-continue\r\n\r\n"
+            )
+            writer.write(head.encode())
+            first = await reader.readuntil(b"\r\n\r\n")
+            answers.append(first.split(b" ")[1])
+            if answers[-1] == b"100":
+                writer.write(b"hello")
+                answers.append((await reader.readuntil(b"\r\n")).split(b" ")[1])
+            writer.close()
+        return answers
+
+
+def test_upload_that_waits_for_permission_is_invited_only_when_wanted():
+    assert asyncio.run(_expecting()) == [b"404", b"100", b"200"]
+
+
+async def _stalled():
+    async with Processes(small_layout()) as procs:
+        address = procs.entries()[0]
+        host, _, port = address.rpartition(":")
+        writers = []
+        for num in range(30):
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b"POST /booking/x HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n"
+                b"X-Client-Address: 10.1.0.1\r\nX-Caller-Id: s%d\r\n\r\nabc" % num
+            )
+            writers.append(writer)
+        await asyncio.sleep(0.5)
+        caller = Caller([address], caller_id="c", address="10.1.0.1")
+        answer = await caller.request("GET", "/booking/x", service="booking")
+        caller.close()
+        ledger = await procs.ledgers()
+        for writer in writers:
+            writer.close()
+        return answer, ledger
+
+
+def test_stalled_senders_hold_no_slots():
+    """Thirty callers send three bytes of a hundred and stop.
+
+    What a user would see: a service whose every slot waits for them.
+    """
+    answer, ledger = asyncio.run(_stalled())
+    assert answer.outcome == ANSWERED
+    assert len(ledger) == 1
