--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from lacewingcross.cli.blocks import SHARD_BLOCKS
+
 from .fit import Slope
-from .slopes import RESULT, SHARD_BLOCKS
+from .slopes import RESULT
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 NODES = 4_500
--- a/lacewingcross/http1_client.py
+++ b/lacewingcross/http1_client.py
@@ -21,13 +21,15 @@
     Parameters
     ----------
     reason : str
-        What happened.
+        Stable code of what happened.
     sent : bool
         Whether a byte of the request had been written.
+    detail : str, default=""
+        More for the log.
     """
 
-    def __init__(self, reason: str, *, sent: bool) -> None:
-        super().__init__(reason)
+    def __init__(self, reason: str, *, sent: bool, detail: str = "") -> None:
+        super().__init__(f"{reason}: {detail}" if detail else reason)
         self.reason = reason
         self.sent = sent
 
@@ -76,7 +78,7 @@
             async with asyncio.timeout(timeout_s):
                 reader, writer = await asyncio.open_connection(host, port, ssl=ssl)
         except (OSError, TimeoutError) as exc:
-            raise HttpError(f"connect: {exc!r}", sent=False) from exc
+            raise HttpError("connect-failed", sent=False, detail=repr(exc)) from exc
         return cls(reader, writer)
 
     def stale(self) -> bool:
@@ -89,7 +91,7 @@
             event = h11.Request(method=method, target=target, headers=headers)
             self._held = self._h11.send(event) or b""
         except h11.LocalProtocolError as exc:
-            raise HttpError(f"head: {exc!r}", sent=False) from exc
+            raise HttpError("bad-head", sent=False, detail=repr(exc)) from exc
 
     async def send_body(self, data: bytes) -> None:
         """Write a part of the body, waiting while the server is slow."""
@@ -107,7 +109,7 @@
                 self._writer.write(data)
                 await self._writer.drain()
         except (OSError, h11.LocalProtocolError) as exc:
-            raise HttpError(f"write: {exc!r}", sent=True) from exc
+            raise HttpError("write-failed", sent=True, detail=repr(exc)) from exc
 
     async def _next(self) -> h11.Event:
         while True:
@@ -117,7 +119,7 @@
                     return event
                 self._h11.receive_data(await self._reader.read(READ_SIZE))
             except (OSError, h11.RemoteProtocolError) as exc:
-                raise HttpError(f"read: {exc!r}", sent=True) from exc
+                raise HttpError("read-failed", sent=True, detail=repr(exc)) from exc
 
     async def read_head(self) -> ResponseHead:
         """Read the head of the response, passing over interim ones."""
@@ -126,7 +128,7 @@
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, list(event.headers))
             if not isinstance(event, h11.InformationalResponse):
-                raise HttpError("connection closed before a response", sent=True)
+                raise HttpError("closed-early", sent=True)
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; raise HttpError when it is cut short."""
@@ -137,7 +139,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 return
             else:
-                raise HttpError("body cut short", sent=True)
+                raise HttpError("cut-short", sent=True)
 
     def reusable(self) -> bool:
         """Make ready for another exchange; return False when that is impossible.
--- a/lacewingcross/platform_client.py
+++ b/lacewingcross/platform_client.py
@@ -186,7 +186,7 @@
         except HttpError as exc:
             writes = method in ("POST", "PUT", "DELETE")
             code = "unknown-outcome" if writes and exc.sent else "unavailable"
-            raise PlatformError(code, f"{method} {target}: {exc.reason}") from exc
+            raise PlatformError(code, f"{method} {target}: {exc}") from exc
 
     def _data(self, response: Response) -> dict:
         try:
--- a/lacewingcross/report.py
+++ b/lacewingcross/report.py
@@ -126,11 +126,11 @@
         ) from exc
 
     def draw(fill: Callable[[Any], None]) -> str:
-        figure = Figure(figsize=(8, 3.2))
+        figure = Figure(figsize=(10, 3.6))
         axes = figure.add_subplot()
         fill(axes)
         axes.grid(visible=True, alpha=0.3)
-        axes.legend(fontsize=8)
+        axes.legend(fontsize=7, loc="center left", bbox_to_anchor=(1.0, 0.5))
         figure.tight_layout()
         buffer = io.BytesIO()
         figure.savefig(buffer, format="png", dpi=100)
