Caller library tested alone; host stop in an outage and beside a dying host

Change: tests/test_caller.py with small fake hosts; the SIGTERM test runs undisturbed, in a platform outage and while another host dies.

--- /dev/null
+++ b/tests/test_caller.py
@@ -0,0 +1,174 @@
+"""The caller library against small fake hosts: lifetimes, retries, outcomes."""
+
+import asyncio
+import json
+from collections import Counter
+
+from lacewingcross import headers as hd
+from lacewingcross.caller import ANSWERED, NOT_RUN, UNKNOWN, Caller
+from lacewingcross.clock import ManualClock, SystemClock
+from lacewingcross.embedded import free_ports
+from lacewingcross.http1_server import HttpServer
+
+
+class FakeHost:
+    """Answers look-ups with given addresses and requests with given steps."""
+
+    def __init__(self, steps=()):
+        self.steps = list(steps)
+        self.lookups = 0
+        self.requests = []
+        self.hosts = []
+        self.ttl_s = 60.0
+        self.server = HttpServer(self._handle, SystemClock().monotonic)
+        self.address = ""
+
+    async def start(self):
+        port = await self.server.start("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{port}"
+        self.hosts = self.hosts or [self.address]
+        return self
+
+    async def _handle(self, exchange):
+        if exchange.head.target.startswith("/v1/lookup"):
+            self.lookups += 1
+            hosts = [{"address": address} for address in self.hosts]
+            body = json.dumps({"hosts": hosts, "ttl_s": self.ttl_s}).encode()
+            await exchange.respond(200, [], body)
+            return
+        while await exchange.read():
+            pass
+        self.requests.append(exchange.head)
+        step = self.steps.pop(0) if self.steps else "answer"
+        if step == "break":
+            exchange.abort()
+        elif step == "refuse":
+            headers = [(hd.OUTCOME, b"not-run"), (hd.REASON, b"queue-full")]
+            headers += hd.retry_after(0.2)
+            await exchange.respond(503, headers, b"")
+        else:
+            await exchange.respond(200, [(hd.OUTCOME, b"answered")], b"whole")
+
+
+def _run(work):
+    async def with_timeout():
+        async with asyncio.timeout(20):
+            return await work()
+
+    return asyncio.run(with_timeout())
+
+
+def test_answer_of_a_lookup_is_used_for_its_lifetime():
+    async def work():
+        host = await FakeHost().start()
+        clock = ManualClock()
+        caller = Caller([host.address], caller_id="c", clock=clock)
+        counts = []
+        for step in (0.0, 59.0, 2.0):
+            clock.advance(step)
+            await caller.lookup("s")
+            counts.append(host.lookups)
+        await host.server.close()
+        # With every host gone an old answer is better than none.
+        clock.advance(120.0)
+        kept = await caller.lookup("s")
+        caller.close()
+        return counts, kept == [host.address]
+
+    assert _run(work) == ([1, 1, 2], True)
+
+
+def test_booking_is_sent_again_only_after_a_proof_that_it_did_not_run():
+    async def work():
+        results = []
+        for steps in (["refuse", "answer"], ["break", "answer"]):
+            host = await FakeHost(steps).start()
+            caller = Caller([host.address], caller_id="c")
+            answer = await caller.request("POST", "/s/x", service="s", body=b"b")
+            results.append((answer.outcome, answer.tries, len(host.requests)))
+            caller.close()
+            await host.server.close()
+        return results
+
+    assert _run(work) == [(ANSWERED, 2, 2), (UNKNOWN, 1, 1)]
+
+
+def test_read_moves_on_to_the_next_host_when_one_is_gone():
+    async def work():
+        gone = f"127.0.0.1:{next(free_ports())}"
+        host = await FakeHost().start()
+        host.hosts = [gone, host.address]
+        caller = Caller([host.address], caller_id="c")
+        answer = await caller.request("GET", "/s/x", service="s")
+        second = await caller.request("GET", "/s/x", service="s")
+        caller.close()
+        await host.server.close()
+        return answer.outcome, answer.tries, second.tries
+
+    assert _run(work) == (ANSWERED, 2, 1)
+
+
+def test_not_run_after_a_broken_try_is_reported_as_unknown():
+    """The first try may have run; the second is refused with "not run"."""
+
+    async def work():
+        host = await FakeHost(["break", "refuse"]).start()
+        caller = Caller([host.address], caller_id="c")
+        answer = await caller.request("GET", "/s/x", service="s", max_tries=2)
+        caller.close()
+        await host.server.close()
+        return answer.outcome, len(host.requests)
+
+    assert _run(work) == (UNKNOWN, 2)
+
+
+def test_caller_comes_back_when_told_and_keeps_its_ids():
+    async def work():
+        host = await FakeHost(["refuse", "refuse", "answer"]).start()
+        caller = Caller([host.address], caller_id="c")
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await caller.request(
+            "POST", "/s/x", service="s", body=b"b", key="k", request_id="r"
+        )
+        waited = loop.time() - started
+        heads = [dict(head.headers) for head in host.requests]
+        caller.close()
+        await host.server.close()
+        ids = Counter((h[hd.REQUEST_ID], h[hd.IDEMPOTENCY_KEY]) for h in heads)
+        deadlines = [int(h[hd.DEADLINE_MS]) for h in heads]
+        return answer.outcome, ids, deadlines, waited
+
+    outcome, ids, deadlines, waited = _run(work)
+    assert outcome == ANSWERED
+    assert ids == {(b"r", b"k"): 3}
+    assert deadlines == sorted(deadlines, reverse=True)
+    assert deadlines[0] - deadlines[2] >= 390
+    assert waited >= 0.39
+
+
+def test_streamed_body_is_never_sent_twice():
+    async def work():
+        host = await FakeHost(["refuse", "answer"]).start()
+        caller = Caller([host.address], caller_id="c")
+
+        async def parts():
+            yield b"one"
+            yield b"two"
+
+        answer = await caller.request("PUT", "/s/x", service="s", body=parts())
+        caller.close()
+        await host.server.close()
+        return answer.outcome, answer.retry_after_s > 0, len(host.requests)
+
+    assert _run(work) == (NOT_RUN, True, 1)
+
+
+def test_nobody_to_ask_is_not_run():
+    async def work():
+        caller = Caller([f"127.0.0.1:{next(free_ports())}"], caller_id="c")
+        answer = await caller.request("POST", "/s/x", service="s", deadline_s=0.5)
+        caller.close()
+        return answer.outcome, answer.reason
+
+    assert _run(work) == (NOT_RUN, "connect-failed")
--- a/tests/test_leaving_processes.py
+++ b/tests/test_leaving_processes.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+import pytest
+
 from lacewingcross.caller import ANSWERED, Caller
 from lacewingcross.operations import Document
 
@@ -143,7 +145,7 @@
     _check(asyncio.run(_drain_while(_platform_goes)))
 
 
-async def _upload_through_shutdown():
+async def _upload_through_shutdown(disturb):
     async with Processes(small_layout()) as procs:
         caller = Caller(procs.entries(), caller_id="yard", address="10.1.0.1")
         address = (await caller.lookup("booking"))[0]
@@ -152,7 +154,7 @@
 
         async def video():
             nonlocal sent
-            for _ in range(40):
+            for _ in range(60):
                 sent += 50_000
                 yield b"v" * 50_000
                 await asyncio.sleep(0.1)
@@ -167,34 +169,47 @@
             )
         )
         await until(lambda: sent > 200_000)
+        await disturb(procs)
         procs.signal(host.host_id, signal.SIGTERM)
-        other = Caller(
-            [e for e in procs.entries() if e != address],
-            caller_id="other",
-            address="10.1.0.1",
-        )
+        others = [cfg for cfg in procs.layout.hosts if cfg is not host]
 
         async def left_lookups():
-            other._routes.clear()
-            return address not in await other.lookup("booking")
+            for cfg in others:
+                status = await procs.fetch(cfg.operators, "/status")
+                if status and status["hosts"][host.host_id] == "live":
+                    return False
+            return True
 
         await until(left_lookups)
         during = sent
         answer = await upload
         status = await procs.wait_exit(host.host_id)
         caller.close()
-        other.close()
         return during, sent, answer, status
 
 
-def test_sigterm_cuts_no_upload_and_leaves_lookups_first():
+async def _undisturbed(_procs):
+    pass
+
+
+async def _kill_another_host(procs):
+    procs.kill("host-2")
+
+
+@pytest.mark.parametrize(
+    "disturb",
+    [_undisturbed, _platform_goes, _kill_another_host],
+    ids=lambda way: way.__name__.strip("_"),
+)
+def test_sigterm_cuts_no_upload_and_leaves_lookups_first(disturb):
     """A yard uploads a video through a host that is told to stop.
 
     What a user would see: the upload cut and a season certificate void. The host
-    must vanish from look-ups while the upload goes on, then exit with status 0.
+    must vanish from look-ups while the upload goes on, then exit with status 0; also
+    when the platform is down and when another host has just died.
     """
-    during, sent, answer, status = asyncio.run(_upload_through_shutdown())
+    during, sent, answer, status = asyncio.run(_upload_through_shutdown(disturb))
     assert during < sent
     assert answer.outcome == ANSWERED
-    assert b'"body_bytes": 2000000' in answer.body
+    assert b'"body_bytes": 3000000' in answer.body
     assert status == 0
