--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -89,7 +89,8 @@
     sites_mb = slopes["site_bytes"].at(SITES) / 1e6
     blocks_mb = slopes["block_bytes"].at(BLOCKS) / 1e6
     tick_us = slopes["tick_us"].at(NODES) * TICKS_S
-    change_bytes = CHANGES_S * (CHANGE_BYTES + PACKET_BYTES)
+    pushed = slopes["push_bytes"].at(CHANGE_BYTES)
+    change_bytes = CHANGES_S * (pushed + PACKET_BYTES)
     announce = CHANGES_S * NEAR * beat_bytes
     lookups = LOOKUPS_S / NODES
     lookup_us = measured.path["lookup_cpu_us"]
@@ -174,7 +175,8 @@
     beat_us = slopes["heartbeat_us"].each
     beat_bytes = slopes["heartbeat_bytes"].each + PACKET_BYTES
     base = slopes["tick_us"].at(NODES) * TICKS_S + CHANGES_S * slopes["change_us"].each
-    change_bytes = CHANGES_S * (CHANGE_BYTES + PACKET_BYTES)
+    pushed = slopes["push_bytes"].at(CHANGE_BYTES)
+    change_bytes = CHANGES_S * (pushed + PACKET_BYTES)
     memory = (
         measured.path["rss_idle_mb"]
         + slopes["host_bytes"].at(NODES) / 1e6
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -220,6 +220,16 @@
     return {"change_us": cpu}
 
 
+def push_slopes() -> dict[str, list[tuple[float, float]]]:
+    """Return the bytes on the wire of a change against the size of its JSON."""
+    points = []
+    for count in (10, 20, 40, 80):
+        text = pool_text(count)
+        push = msg.ConfigPush(9, [("BackendPool/all", 9, text)], True)
+        points.append((len(text), len(wire.encode(push))))
+    return {"push_bytes": points}
+
+
 def keeper_slopes() -> dict[str, list[tuple[float, float]]]:
     """Return the cost of permits (ask, grant, release, both codecs)."""
     cpu = []
@@ -342,6 +352,7 @@
     points.update(site_slopes())
     points.update(fleet_slopes())
     points.update(change_slopes())
+    points.update(push_slopes())
     points.update(keeper_slopes())
     points.update(planner_slopes())
     points.update(tick_cost())
--- a/lacewingcross/wire.py
+++ b/lacewingcross/wire.py
@@ -1,8 +1,13 @@
-"""Frames between our processes: a length, then a msgpack array with a type code."""
+"""Frames between our processes: a length, then a msgpack array with a type code.
+
+The highest bit of the length says that the array is compressed: pushes of
+configuration are JSON text and shrink several times.
+"""
 
 import asyncio
 import struct
 import typing
+import zlib
 from dataclasses import fields
 
 import msgpack
@@ -12,6 +17,10 @@
 
 PROTOCOL = 1
 MAX_FRAME = 4 * 1024 * 1024
+MAX_BODY = 16 * 1024 * 1024
+COMPRESS_FROM = 600
+COMPRESS_LEVEL = 1
+COMPRESSED = 1 << 31
 _LENGTH = struct.Struct(">I")
 _TYPES = {
     1: msg.Hello,
@@ -68,7 +77,10 @@
     cls = type(message)
     values = [getattr(message, name) for name in _NAMES[cls]]
     body = msgpack.packb([_CODES[cls], *values], use_bin_type=True)
-    return _LENGTH.pack(len(body)) + body
+    if len(body) < COMPRESS_FROM:
+        return _LENGTH.pack(len(body)) + body
+    packed = zlib.compress(body, COMPRESS_LEVEL)
+    return _LENGTH.pack(len(packed) | COMPRESSED) + packed
 
 
 def decode(body: bytes) -> msg.Message:
@@ -106,10 +118,33 @@
         The connection ended.
     """
     head = await reader.readexactly(_LENGTH.size)
-    (size,) = _LENGTH.unpack(head)
+    (word,) = _LENGTH.unpack(head)
+    size = word & ~COMPRESSED
     if size > MAX_FRAME:
         raise FrameError("frame-too-large", f"{size} bytes, at most {MAX_FRAME}")
-    return decode(await reader.readexactly(size))
+    body = await reader.readexactly(size)
+    return decode(inflate(body) if word & COMPRESSED else body)
+
+
+def inflate(packed: bytes) -> bytes:
+    """Return the decompressed body of a frame, never more than `MAX_BODY` bytes.
+
+    Raises
+    ------
+    FrameError
+        With code ``bad-frame`` or, for what would become too large,
+        ``frame-too-large``.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        body = inflater.decompress(packed, MAX_BODY)
+    except zlib.error as exc:
+        raise FrameError("bad-frame", f"not compressed: {exc}") from exc
+    if inflater.unconsumed_tail:
+        raise FrameError("frame-too-large", f"more than {MAX_BODY} bytes")
+    if not inflater.eof:
+        raise FrameError("bad-frame", "compressed data cut short")
+    return body
 
 
 __all__ = ["MAX_FRAME", "PROTOCOL", "decode", "encode", "read_message"]
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,6 +1,8 @@
 """Property-based fuzzing of every decoder of ours; small corpus in tests/corpus."""
 
 import json
+import struct
+import zlib
 from pathlib import Path
 
 import hypothesis.strategies as st
@@ -79,6 +81,34 @@
         assert _tupled(getattr(decoded, name)) == _tupled(getattr(message, name))
 
 
+@given(st.text(max_size=3000), st.integers(1, 3))
+def test_large_frames_are_compressed_and_round_trip(text, copies):
+    push = msg.ConfigPush(7, [("Plan/s", 7, text * copies * 40)], True)
+    frame = wire.encode(push)
+    (word,) = struct.unpack(">I", frame[:4])
+    body = frame[4:]
+    assert (word & ~wire.COMPRESSED) == len(body)
+    if word & wire.COMPRESSED:
+        body = wire.inflate(body)
+    assert wire.decode(body).entries[0][2] == text * copies * 40
+
+
+@given(st.binary(max_size=200))
+def test_any_compressed_bytes_are_a_body_or_a_coded_error(packed):
+    try:
+        wire.inflate(packed)
+    except FrameError as exc:
+        assert exc.code == "bad-frame"
+
+
+def test_small_frame_that_grows_without_end_is_refused():
+    """A hostile process sends a megabyte that decompresses to a gigabyte."""
+    packed = zlib.compress(b"0" * (wire.MAX_BODY + 1))
+    with pytest.raises(FrameError) as caught:
+        wire.inflate(packed)
+    assert caught.value.code == "frame-too-large"
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_a_message_or_a_coded_error(body):
     try:
