A request that asks again keeps its place; requests.py in parts

Cause: a host asks again after two seconds in case its ask was lost; the keeper then dropped the queued request and put it at the back, behind callers that came later. Found by reading; tests/test_servers.py failed first (order r2, r3, r1). Change: an ask for a request that is queued changes nothing; a lost permit is still taken back.

--- a/lacewingcross/core/keeper.py
+++ b/lacewingcross/core/keeper.py
@@ -159,7 +159,11 @@
 
     def acquire(self, host_id: str, ask: msg.Acquire, now: float) -> Iterator[Reply]:
         """Queue a request, or refuse it at once when it cannot make its deadline."""
-        if self._forget_earlier(host_id, ask.request_id):
+        if self._is_queued(host_id, ask.request_id):
+            # Asked again by a host that cannot know that its ask arrived: answering
+            # later is enough, and a place at the back would undo the wait so far.
+            return
+        if self._vacate_lost(host_id, ask.request_id):
             yield from self.dispatch(now)
         self._arrivals += 1
         item = Waiting(
@@ -185,14 +189,19 @@
         free = not self.queue and len(self.permits) < self.limit
         return free and not self.recovering(now)
 
-    def _forget_earlier(self, host_id: str, request_id: str) -> bool:
-        """Drop what an earlier ask for the same request left behind.
+    def _is_queued(self, host_id: str, request_id: str) -> bool:
+        return any(
+            item.request_id == request_id and item.host_id == host_id
+            for item in self.queue
+        )
+
+    def _vacate_lost(self, host_id: str, request_id: str) -> bool:
+        """Take back a permit whose grant was lost with its connection.
 
-        Failure: the grant was lost with its connection and the host asks again. The
-        lost permit would keep its slot empty until the lease ends. A host asks only
-        while it has no attempt under way, so nothing runs on that permit.
+        The host asks again, and the lost permit would keep its slot empty until the
+        lease ends. A host asks only while it has no attempt under way, so nothing
+        runs on that permit.
         """
-        self.withdraw(host_id, request_id)
         for number, permit in self.permits.items():
             if permit.request_id == request_id and permit.host_id == host_id:
                 self._vacate(number)
--- a/lacewingcross/core/requests.py
+++ b/lacewingcross/core/requests.py
@@ -1,9 +1,7 @@
 """The life of each request on its entry host: claim, permit, attempts, ending."""
 
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Iterator
-from dataclasses import dataclass, field
-from enum import Enum
 from heapq import heappop, heappush
 
 from . import messages as msg
@@ -19,13 +17,16 @@
     StartAttempt,
 )
 from .attempts import Attempt, Ending, RetryBudget, Stage, Verdict, decide
-from .claims import CLAIMED, TAKEN, ClaimKeeper, claim_id, hash_key, shard_of
+from .claims import CLAIMED, TAKEN, ClaimKeeper
 from .events import AttemptEnded, RequestArrived
+from .keyed import KeyClaims
 from .plan import bucket_of
-from .rendezvous import hash64
+from .request_state import Held, Phase, RequestState
 from .resources import SteeringPolicy
 from .servers import ANSWERED, FAILED, SHED, UNREACHABLE, UNUSED
+from .share import FixedShare
 from .view import View
+from .waiting import WaitingRequests
 
 RENEW_S = 1.0
 KEEPER_SILENCE_S = 0.9
@@ -56,47 +57,6 @@
 }
 
 
-class Phase(Enum):
-    """What a request waits for."""
-
-    CLAIM = "claim"
-    PERMIT = "permit"
-    PAUSE = "pause"
-    ATTEMPT = "attempt"
-
-
-@dataclass(slots=True)
-class Held:
-    """A permit in use."""
-
-    number: int
-    server_id: str
-    keeper: str
-    reuses: int = 0
-
-
-@dataclass(slots=True)
-class RequestState:
-    """One request from arrival to its final answer."""
-
-    req: RequestArrived
-    deadline: float
-    region: str
-    repeatable: bool
-    phase: Phase = Phase.PERMIT
-    keeper: str = ""
-    asked_at: float = 0.0
-    resume_at: float = 0.0
-    held: Held | None = None
-    attempt: Attempt | None = None
-    attempts: int = 0
-    exclude: set[str] = field(default_factory=set)
-    key_hash: str = ""
-    claim: str = ""
-    may_have_run: bool = False
-    give_up_at: float = 0.0
-
-
 class RequestTable:
     """All requests of this host.
 
@@ -110,28 +70,29 @@
 
     __slots__ = (
         "_budgets",
-        "_claims",
         "_deadlines",
-        "_next_local_permit",
+        "_keys",
         "_renewed_at",
-        "_waiting",
+        "_share",
         "_view",
+        "_waiting",
         "last_refusals",
         "requests",
     )
 
     def __init__(self, view: View, claims: ClaimKeeper) -> None:
         self._view = view
-        self._claims = claims
+        self._keys = KeyClaims(view, claims)
+        self._share = FixedShare(view)
+        self._waiting = WaitingRequests(self._is_open)
         self.requests: dict[str, RequestState] = {}
         self.last_refusals: dict[str, str] = {}
         self._budgets: dict[str, RetryBudget] = defaultdict(RetryBudget)
         self._deadlines: list[tuple[float, str]] = []
-        self._next_local_permit = 0
         self._renewed_at = float("-inf")
-        self._waiting: dict[tuple[str, str], deque[tuple[RequestState, float]]] = (
-            defaultdict(deque)
-        )
+
+    def _is_open(self, state: RequestState) -> bool:
+        return self.requests.get(state.req.request_id) is state
 
     # Arrival
 
@@ -156,7 +117,7 @@
         state = self._open(req, policy, region, now)
         self._budgets[req.service].earn()
         if req.key and policy.keyed and not state.repeatable:
-            yield from self._claim(state, now)
+            yield self._keys.ask(state, now)
             return
         yield from self._ask(state, now)
 
@@ -193,35 +154,14 @@
 
     # Keyed requests
 
-    def _claim(self, state: RequestState, now: float) -> Iterator[Action]:
-        """Claim the idempotency key in the platform before anything is sent.
-
-        Failure: a caller that got no answer sends the same booking to a second host.
-        Only the platform is seen by both; the claim succeeds for one of them.
-        """
-        req = state.req
-        own = self._view.own.host_id
-        state.phase = Phase.CLAIM
-        state.key_hash = hash_key(req.service, req.key)
-        state.claim = claim_id(own, self._view.incarnation, req.request_id)
-        message = msg.Claim(req.service, req.request_id, state.key_hash, state.claim)
-        state.keeper = self._claim_owner(state, now)
-        state.asked_at = now
-        yield SendPeer(state.keeper, message)
-
     def _review_claim(self, state: RequestState, now: float) -> Iterator[Action]:
         """Ask again when the shard's owner changed or its answer was lost.
 
         The claim's id is the same, so asking twice cannot make it a duplicate.
         """
-        moved = self._claim_owner(state, now) != state.keeper
-        if moved or now - state.asked_at > ASK_AGAIN_S:
+        if self._keys.owner_moved(state, now) or now - state.asked_at > ASK_AGAIN_S:
             yield Count("retries.claim-again")
-            yield from self._claim(state, now)
-
-    def _claim_owner(self, state: RequestState, now: float) -> str:
-        shard = shard_of(state.key_hash)
-        return self._claims.owner_of(state.req.service, shard, now)
+            yield self._keys.ask(state, now)
 
     def claim_ended(self, ended: msg.ClaimEnded, now: float) -> Iterator[Action]:
         """Go on once a claim is decided."""
@@ -239,37 +179,28 @@
         else:
             yield from self._refuse(state, "store-unavailable", self._come_back(), now)
 
-    def _unclaim(self, state: RequestState, now: float) -> Iterator[Action]:
-        """Free the key of a request that did not run.
-
-        Otherwise the caller's retry would be told that its booking is a duplicate of
-        one that never ran.
-        """
-        if state.key_hash and not state.may_have_run:
-            message = msg.Unclaim(state.req.service, state.key_hash, state.claim)
-            yield SendPeer(self._claim_owner(state, now), message)
-
     # Permits
 
     def _ask(self, state: RequestState, now: float) -> Iterator[Action]:
-        view = self._view
-        req = state.req
-        remaining = state.deadline - now
         if now >= state.give_up_at:
             yield from self._refuse(state, "deadline", self._come_back(), now)
             return
         state.phase = Phase.PERMIT
         state.asked_at = now
-        state.keeper = view.keeper_of(req.service, state.region, now)
+        state.keeper = self._view.keeper_of(state.req.service, state.region, now)
+        self._waiting.add(state)
+        yield self._send_ask(state, now)
+
+    def _send_ask(self, state: RequestState, now: float) -> SendPeer:
+        state.ask_again_at = now + ASK_AGAIN_S
         ask = msg.Acquire(
-            req.service,
+            state.req.service,
             state.region,
-            req.request_id,
-            remaining,
+            state.req.request_id,
+            state.deadline - now,
             sorted(state.exclude),
         )
-        self._waiting[req.service, state.region].append((state, now))
-        yield SendPeer(state.keeper, ask)
+        return SendPeer(state.keeper, ask)
 
     def granted(self, host_id: str, grant: msg.Grant, now: float) -> Iterator[Action]:
         """Start an attempt with a permit, or give back one nobody waits for."""
@@ -365,22 +296,7 @@
             return None
         if held.server_id in self._view.leaving_servers(state.req.service):
             return None
-        waiting = self._waiting[state.req.service, state.region]
-        while waiting:
-            heir, asked_at = waiting[0]
-            if not self._still_waits(heir, asked_at):
-                waiting.popleft()
-                continue
-            same = heir.keeper == held.keeper and held.server_id not in heir.exclude
-            if not same or now >= heir.give_up_at:
-                return None
-            waiting.popleft()
-            return heir
-        return None
-
-    def _still_waits(self, state: RequestState, asked_at: float) -> bool:
-        known = self.requests.get(state.req.request_id) is state
-        return known and state.phase is Phase.PERMIT and state.asked_at == asked_at
+        return self._waiting.take_for(state.req.service, state.region, held, now)
 
     def _hand_over(
         self, state: RequestState, heir: RequestState, service_s: float, now: float
@@ -511,7 +427,7 @@
         kind = "refused" if outcome == NOT_RUN else "unknown"
         yield Count(f"{kind}.{reason}")
         if outcome == NOT_RUN:
-            yield from self._unclaim(state, now)
+            yield from self._keys.free(state, now)
         yield Finish(state.req.request_id, status, outcome, reason, retry_after_s)
 
     def _close(self, state: RequestState) -> None:
@@ -530,7 +446,7 @@
             yield CancelAttempt(request_id, number, Ending.CANCELLED)
             return
         self._close(state)
-        yield from self._unclaim(state, now)
+        yield from self._keys.free(state, now)
 
     def _withdraw(self, state: RequestState) -> Iterator[Action]:
         gone = msg.Withdraw(state.req.service, state.region, state.req.request_id)
@@ -541,7 +457,7 @@
     def tick(self, now: float) -> Iterator[Action]:
         """End what is late, follow keeper changes, renew leases."""
         yield from self._end_late(now)
-        self._forget_granted()
+        self._waiting.sweep()
         for state in list(self.requests.values()):
             if state.phase is Phase.PERMIT:
                 yield from self._review_wait(state, now)
@@ -553,12 +469,6 @@
             self._renewed_at = now
             yield from self._renew(now)
 
-    def _forget_granted(self) -> None:
-        """Drop entries at the front that no longer wait, so that none pile up."""
-        for waiting in self._waiting.values():
-            while waiting and not self._still_waits(*waiting[0]):
-                waiting.popleft()
-
     def _end_late(self, now: float) -> Iterator[Action]:
         while self._deadlines and self._deadlines[0][0] <= now:
             due, request_id = heappop(self._deadlines)
@@ -591,63 +501,27 @@
             yield from self._withdraw(state)
             yield from self._ask(state, now)
             return
-        silent = view.members.silence(keeper, now)
-        waited = now - state.asked_at
-        if waited > ASK_AGAIN_S:
-            # The ask or its answer was lost with a connection; the keeper knows a
-            # repeated ask by its request id.
+        if now >= state.ask_again_at:
+            # The ask or its answer may have been lost with a connection; the keeper
+            # knows a repeated ask by its request id.
             yield Count("retries.ask-again")
-            yield from self._ask(state, now)
+            yield self._send_ask(state, now)
             return
-        if min(silent, waited) > KEEPER_SILENCE_S:
+        silent = view.members.silence(keeper, now)
+        if min(silent, now - state.asked_at) > KEEPER_SILENCE_S:
             yield from self._use_share(state, now)
 
     def _use_share(self, state: RequestState, now: float) -> Iterator[Action]:
-        """Start without a keeper's permit, within this host's fixed share.
-
-        Failure: the keeper is frozen and not yet found out. Waiting would refuse
-        everything of the region for a second or more. The share of all hosts
-        together stays under the region's slots, and what the silent keeper had
-        granted besides is shed by the backend servers, which say "not run".
-        """
-        service = state.req.service
-        if state.region != self._view.own.region:
-            return
-        in_use = self._in_use(service, state.region)
-        if sum(in_use.values()) >= self._share(service, state.region, now):
-            return
-        server_id = self._least_used(state, in_use)
-        if server_id is None:
+        """Start without a keeper's permit, within this host's fixed share."""
+        in_use = self.held(state.req.service, state.region)
+        held = self._share.take(state, in_use, now)
+        if held is None:
             return
         yield from self._withdraw(state)
         yield Count("attempts.fixed-share")
-        self._next_local_permit += 1
-        number = (self._view.incarnation << 32) + self._next_local_permit
-        state.held = Held(number, server_id, state.keeper)
+        state.held = held
         yield from self._start(state, KEEPER_SILENCE_S, now)
 
-    def _in_use(self, service: str, region: str) -> dict[str, int]:
-        in_use: dict[str, int] = defaultdict(int)
-        for server_id, _ in self.held(service, region):
-            in_use[server_id] += 1
-        return in_use
-
-    def _share(self, service: str, region: str, now: float) -> int:
-        hosts = len(self._view.members.live(now, region)) or 1
-        limit = self._view.config.pools[service].limit(region)
-        return max(1, int(limit / (hosts + 1)))
-
-    def _least_used(self, state: RequestState, in_use: dict[str, int]) -> str | None:
-        leaving = self._view.leaving_servers(state.req.service) | state.exclude
-        servers = self._view.region_servers(state.req.service, state.region)
-        usable = [srv.server_id for srv in servers if srv.server_id not in leaving]
-        key = state.req.request_id
-        return min(
-            usable,
-            key=lambda sid: (in_use.get(sid, 0), hash64(key, sid)),
-            default=None,
-        )
-
     def _renew(self, now: float) -> Iterator[Action]:
         held: dict[tuple[str, str], list[tuple[str, int]]] = defaultdict(list)
         for state in self.requests.values():
--- /dev/null
+++ b/lacewingcross/core/share.py
@@ -0,0 +1,71 @@
+"""The fixed share: what a host may start while its region's keeper is silent."""
+
+from collections import Counter
+
+from .rendezvous import hash64
+from .request_state import Held, RequestState
+from .view import View
+
+
+class FixedShare:
+    """Slots that this host may use without a keeper's permit.
+
+    Failure: the keeper is frozen and not yet found out. Waiting would refuse
+    everything of the region for a second or more. The shares of all hosts together
+    stay under the region's slots, and what the silent keeper had granted besides is
+    shed by the backend servers, which say "not run".
+
+    Parameters
+    ----------
+    view : View
+        Shared state.
+    """
+
+    __slots__ = ("_next_number", "_view")
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+        self._next_number = 0
+
+    def take(
+        self, state: RequestState, in_use: list[tuple[str, int]], now: float
+    ) -> Held | None:
+        """Return a permit of the share for a request, or None.
+
+        Parameters
+        ----------
+        state : RequestState
+            A request of this host's own region.
+        in_use : list of (str, int)
+            Backend server and permit of every slot this host uses there.
+        now : float
+            Seconds on a monotonic clock.
+        """
+        service = state.req.service
+        if state.region != self._view.own.region:
+            return None
+        if len(in_use) >= self._size(service, state.region, now):
+            return None
+        server_id = self._least_used(state, Counter(server for server, _ in in_use))
+        if server_id is None:
+            return None
+        self._next_number += 1
+        number = (self._view.incarnation << 32) + self._next_number
+        return Held(number, server_id, state.keeper)
+
+    def _size(self, service: str, region: str, now: float) -> int:
+        hosts = len(self._view.members.live(now, region)) or 1
+        limit = self._view.config.pools[service].limit(region)
+        return max(1, int(limit / (hosts + 1)))
+
+    def _least_used(self, state: RequestState, in_use: Counter[str]) -> str | None:
+        service = state.req.service
+        passed_over = self._view.leaving_servers(service) | state.exclude
+        servers = self._view.region_servers(service, state.region)
+        usable = [srv.server_id for srv in servers if srv.server_id not in passed_over]
+        key = state.req.request_id
+        return min(
+            usable,
+            key=lambda server_id: (in_use[server_id], hash64(key, server_id)),
+            default=None,
+        )
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -158,3 +158,20 @@
     assert len(waits) > 50
     assert len(set(waits)) == len(waits)
     assert min(waits) >= 0.25
+
+
+def test_request_that_asks_again_keeps_its_place_in_the_queue():
+    """A long queue; a host asks again for a request that has waited for two seconds.
+
+    What a user would see: the callers that have waited longest go to the back, wait
+    again, and are refused in the end.
+    """
+    keeper = keeper_with(1, count=1)
+    (grant,) = ask(keeper, "r0", 1.0, remaining=9.0)
+    for name in ("r1", "r2", "r3"):
+        assert ask(keeper, name, 1.1, remaining=9.0) == []
+    assert ask(keeper, "r1", 3.2, remaining=6.9) == []
+    assert [item.request_id for item in keeper.queue] == ["r1", "r2", "r3"]
+    done = msg.Release("s", "r", grant.permit, "s0", "answered", 0.1)
+    (reply,) = keeper.release(done, 3.3)
+    assert reply.message.request_id == "r1"
