Headroom in status; addresses of learnt hosts checked

Cause: operators watch headroom and had to ask each host for it; a host that a peer names with an address that cannot be dialled ended the link's task for good (found by reading). Change: heartbeats carry the loads of what their sender keeps, reports renew them each 5 s, status shows in flight, queued, limit and headroom for each service and region.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -30,7 +30,7 @@
 WATCH_WAIT_S = 20
 HOST_LIST_S = 10
 HOST_ENTRY_BYTES = 150
-REPORT_S = 10
+REPORT_S = 5
 LOAD_PAUSE_S = max(0.5, 0.03 * REGIONS)
 CALLERS_REMEMBERED = 50_000
 
@@ -233,7 +233,7 @@
         ("watches that end by a change", RELAYS * CHANGES_S, "reads"),
         ("watches that time out", RELAYS / WATCH_WAIT_S, "reads"),
         ("host list", RELAYS / HOST_LIST_S, "reads"),
-        ("reports, nothing changing", DOMAINS / REPORT_S, "writes"),
+        ("reports, loads renewed", DOMAINS / REPORT_S, "writes"),
         ("reports, changes without pause (bound)", burst, "writes"),
         ("plans, every service in a shift", SERVICES * 1.0, "writes"),
         ("operators' changes", CHANGES_S, "writes"),
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -284,7 +284,7 @@
 async def peer_slopes() -> dict[str, list[tuple[float, float]]]:
     """Return processor time and bytes of heartbeats on real loopback streams."""
     cpu, size = [], []
-    beat = msg.Heartbeat("live", 123_456, 0, [])
+    beat = msg.Heartbeat("live", 123_456, 0, [], [])
     for count in PEER_SIZES:
         seconds = await _beat_streams(count, beat)
         cpu.append((count, seconds * 1e6))
--- a/lacewingcross/cli/resources.py
+++ b/lacewingcross/cli/resources.py
@@ -178,12 +178,14 @@
     refusals: dict[str, str] = {}
     rejected: dict[str, str] = {}
     leaving: dict[str, int] = {}
+    loads: dict[str, dict] = {}
     for report in reports:
         spec = report.spec() or {}
         hosts.update(spec.get("hosts", {}))
         refusals.update(spec.get("last_refusals", {}))
         rejected.update(spec.get("rejected", {}))
         leaving.update(spec.get("leaving", {}))
+        loads.update(spec.get("loads", {}))
     resources = []
     for item in items:
         state.wanted = item.version
@@ -200,7 +202,8 @@
             }
         )
     if output == "json":
-        print_json({"resources": resources, "hosts": hosts, "leaving": leaving})
+        data = {"resources": resources, "hosts": hosts, "leaving": leaving}
+        print_json({**data, "loads": loads})
         return
     columns = ("resource", "version", "in_force", "why_not", "progress", "last_refusal")
     rows = [[row[column] or "-" for column in columns] for row in resources]
@@ -211,6 +214,18 @@
         for host_id, said in sorted(hosts.items())
     ]
     print_table(("HOST", "STATE", "IN-FORCE", "BUCKETS-BEHIND"), rows)
+    print()
+    rows = [
+        (name, load["in_flight"], load["queued"], load["limit"], _headroom(load))
+        for name, load in sorted(loads.items())
+    ]
+    print_table(("SERVICE/REGION", "IN-FLIGHT", "QUEUED", "LIMIT", "HEADROOM"), rows)
+
+
+def _headroom(load: dict[str, float]) -> str:
+    if load["limit"] <= 0:
+        return "no usable server"
+    return f"{100 * max(0.0, 1 - load['in_flight'] / load['limit']):.0f}%"
 
 
 def _progress(item: StoredObject, leaving: dict[str, int]) -> str:
--- a/lacewingcross/core/keeping.py
+++ b/lacewingcross/core/keeping.py
@@ -135,6 +135,14 @@
             if state.leaving
         ]
 
+    def loads(self, now: float) -> list[tuple[str, int, int, float]]:
+        """Return in flight, queued and limit of each service and region kept."""
+        loads = (keeper.load(now) for keeper in self.keepers.values())
+        return [
+            (f"{load.service}/{load.region}", load.in_flight, load.queued, load.limit)
+            for load in loads
+        ]
+
     def _report_pause(self) -> float:
         """Return the time between load reports, longer with more regions.
 
--- a/lacewingcross/core/membership.py
+++ b/lacewingcross/core/membership.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from ..checks import is_address
 from .messages import Heartbeat
 from .neighbours import SMALL_BEAT_S, Place, neighbours
 
@@ -39,6 +40,7 @@
     revision: int = 0
     behind: int = 0
     leaving: list[tuple[str, int]] = field(default_factory=list)
+    loads: list[tuple[str, int, int, float]] = field(default_factory=list)
     connected: bool = False
     broken: bool = False
     broken_at: float = float("-inf")
@@ -138,6 +140,7 @@
         state.revision = beat.revision
         state.behind = beat.behind
         state.leaving = beat.leaving
+        state.loads = beat.loads
         state.broken = False
 
     def on_hello(self, info: HostInfo, incarnation: int, now: float) -> None:
@@ -159,7 +162,9 @@
         """Add hosts that a peer knows, when the platform cannot be asked."""
         known = len(self._states)
         for info in hosts:
-            if info.host_id != self.own.host_id and info.host_id not in self._states:
+            new = info.host_id != self.own.host_id and info.host_id not in self._states
+            # An address that cannot be dialled must not end up in look-ups.
+            if new and is_address(info.entry) and is_address(info.peer):
                 self._states[info.host_id] = self._new(info, now)
         if len(self._states) != known:
             self._choose_neighbours()
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -21,13 +21,15 @@
     """Liveness, state and the highest configuration version of the sender.
 
     `behind` counts the buckets that its own cap still holds back; `leaving` gives
-    the requests in flight at each leaving backend server that the sender keeps.
+    the requests in flight at each leaving backend server that the sender keeps;
+    `loads` gives in flight, queued and limit of each service and region it keeps.
     """
 
     state: str
     revision: int
     behind: int
     leaving: list[tuple[str, int]]
+    loads: list[tuple[str, int, int, float]]
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/node.py
+++ b/lacewingcross/core/node.py
@@ -187,6 +187,7 @@
             view.config.revision,
             behind,
             self.keepers.leaving(),
+            self.keepers.loads(now),
         )
         for state in due:
             yield SendPeer(state.info.host_id, beat)
--- a/lacewingcross/core/reports.py
+++ b/lacewingcross/core/reports.py
@@ -13,6 +13,7 @@
 CHANGED_S = 0.25
 EACH_DOMAIN_S = 0.01
 IDLE_S = 10.0
+LOADS_S = 5.0
 CALL_BASE = 1 << 50
 
 
@@ -27,6 +28,8 @@
         "_call",
         "_keepers",
         "_last",
+        "_loads",
+        "_loads_at",
         "_requests",
         "_version",
         "_view",
@@ -41,6 +44,8 @@
         self._version: int | None = None
         self._last: object = None
         self._written_at = float("-inf")
+        self._loads: dict[str, dict[str, float]] = {}
+        self._loads_at = float("-inf")
 
     def owns_call(self, call_id: int) -> bool:
         """Tell whether a write is the reporter's."""
@@ -60,6 +65,7 @@
         waited = now - self._written_at
         if self._call or waited < CHANGED_S:
             return
+        self._review_loads(now)
         if self._view.reporter_of(own.failure_domain, now) != own.host_id:
             return
         if waited < self._pause(now):
@@ -76,6 +82,21 @@
         else:
             yield UpdateObject(self._call, key, spec, self._version)
 
+    def _review_loads(self, now: float) -> None:
+        """Take over the loads now and then only: they change all the time."""
+        if now - self._loads_at < LOADS_S:
+            return
+        self._loads_at = now
+        view = self._view
+        loads = list(self._keepers.loads(now))
+        for state in view.members.others():
+            if state.info.failure_domain == view.own.failure_domain:
+                loads += state.loads
+        self._loads = {
+            name: {"in_flight": in_flight, "queued": queued, "limit": limit}
+            for name, in_flight, queued, limit in loads
+        }
+
     def _pause(self, now: float) -> float:
         """Return the shortest time between writes.
 
@@ -109,6 +130,7 @@
         return {
             "hosts": hosts,
             "leaving": dict(leaving),
+            "loads": self._loads,
             "last_refusals": dict(self._requests.last_refusals),
             "rejected": dict(view.config.rejected),
         }
--- a/lacewingcross/host/mesh/links.py
+++ b/lacewingcross/host/mesh/links.py
@@ -248,6 +248,9 @@
             logs.event("peer-refused", "WARNING", code=exc.code, why=exc.message)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             pass
+        except Exception as exc:
+            # An error of ours over one message costs this stream, not the listener.
+            logs.event("peer-failed", "ERROR", error=repr(exc))
         finally:
             self._accepted.discard(writer)
             writer.transport.abort()
--- a/tests/test_bad_input_processes.py
+++ b/tests/test_bad_input_processes.py
@@ -68,7 +68,7 @@
         hello + struct.pack(">I", 3) + b"abc",
         wire.encode(msg.Hello("", 1, wire.PROTOCOL, "r", "d", "x", "y")),
         wire.encode(msg.Hello("e", 1, 99, "r", "d", "127.0.0.1:1", "127.0.0.1:2")),
-        wire.encode(msg.Heartbeat("live", 1, 0, [])),
+        wire.encode(msg.Heartbeat("live", 1, 0, [], [])),
     ]
 
 
--- a/tests/test_commands_processes.py
+++ b/tests/test_commands_processes.py
@@ -63,6 +63,7 @@
         status, out, _ = await _run(procs, "status", "-o", "json")
         rows = {row["resource"]: row for row in json.loads(out)["resources"]}
         assert rows["ShiftCap/booking"]["in_force"] == "3/3"
+        assert json.loads(out)["loads"]["booking/south"]["limit"] == 3.0
         status, out, _ = await _run(procs, "undrain", "server", "booking-1")
         assert status == 0
         status, _, err = await _run(procs, "undrain", "server", "booking-1")
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -49,6 +49,7 @@
         small,
         small,
         st.lists(st.tuples(names, small), max_size=3),
+        st.lists(st.tuples(names, small, small, floats), max_size=3),
     ),
     st.builds(msg.Acquire, names, names, names, floats, st.lists(names, max_size=3)),
     st.builds(msg.Grant, names, names, names, small, names, floats),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,7 +10,7 @@
 
 
 def beat(state="live", revision=1):
-    return Heartbeat(state, revision, 0, [])
+    return Heartbeat(state, revision, 0, [], [])
 
 
 def members():
@@ -79,6 +79,14 @@
     assert {info.host_id for info in view.live(3.5)} == {"own"}
 
 
+def test_hosts_with_addresses_that_cannot_be_dialled_are_not_learnt():
+    view = members()
+    odd = HostInfo("odd", "r1", "d1", "nowhere", "127.0.0.1:99999")
+    view.learn([odd, host("h3")], 1.0)
+    assert view.info("odd") is None
+    assert view.info("h3") is not None
+
+
 def _fleet(count, domains, regions):
     return [
         Place(f"h{num}", f"r{num % domains % regions}", f"d{num % domains}")
