--- a/lacewingcross/core/membership.py
+++ b/lacewingcross/core/membership.py
@@ -149,7 +149,9 @@
             return
         self.learn([info], now)
         self._kept = None
-        state = self._states[info.host_id]
+        state = self._states.get(info.host_id)
+        if state is None:
+            return
         if incarnation != state.incarnation:
             state.info = info
             state.said = LIVE
