A key's newest claim decides; owners and live sets kept until they change

Cause (1): a key freed, claimed again and rolled into a second segment was looked up in the oldest segment first; giving the first claim back once more made the key count as free while the second claim held it, and a third copy could run. Change: the newest claim decides; segment names sort by age; a dropped segment takes only its own freed marks. The new test failed on the old code, passes now. Cause (2): at the target every host walked and hashed 4,500 live hosts for each owner it looked up, and each tick walked all of them. Change: what follows from the live set is kept until the set changes; a tick looks at neighbours only and comes each 200 ms at rest.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -26,7 +26,7 @@
 RELAYS = DOMAINS * 2
 SERVICES = 3
 NEAR = NODES // DOMAINS
-TICKS_S = 10
+TICKS_S = 5
 WATCH_WAIT_S = 20
 HOST_LIST_S = 10
 HOST_ENTRY_BYTES = 150
@@ -168,13 +168,25 @@
     return "\n".join(lines)
 
 
+def _at_rest(measured: Measured) -> float:
+    """Return microseconds a second of a host at rest, at the target.
+
+    The share of a whole process in a fleet of twelve, the highest one, and what a
+    tick costs more at the target's hosts and groups.
+    """
+    slopes = measured.slopes
+    hosts = slopes["tick_us"].each * NODES
+    groups = max(0.0, slopes["plan_tick_us"].each) * SERVICES * REGIONS
+    return measured.path["idle_percent_most"] * 1e4 + (hosts + groups) * TICKS_S
+
+
 def node_table(measured: Measured) -> str:
     """Return the control costs of a whole node against the limits."""
     slopes = measured.slopes
     ordinary, relay = _beats(measured)
     beat_us = slopes["heartbeat_us"].each
     beat_bytes = slopes["heartbeat_bytes"].each + PACKET_BYTES
-    base = slopes["tick_us"].at(NODES) * TICKS_S + CHANGES_S * slopes["change_us"].each
+    base = _at_rest(measured) + CHANGES_S * slopes["change_us"].each
     pushed = slopes["push_bytes"].at(CHANGE_BYTES)
     change_bytes = CHANGES_S * (pushed + PACKET_BYTES)
     memory = (
--- a/bench/path.py
+++ b/bench/path.py
@@ -1,16 +1,25 @@
 """Cost of the path: look-ups, added latency, requests a second and core."""
 
 import asyncio
+from statistics import fmean
 
 import h11
 
-from lacewingcross.deployments import Deployment, Ports, ServiceShape, lay_out
+from lacewingcross.deployments import (
+    GRUPO_VISITAS,
+    Deployment,
+    Ports,
+    ServiceShape,
+    lay_out,
+)
 from lacewingcross.embedded import free_ports
 
 from .load import closed_loop, get_request
 from .processes import BenchProcesses
 
 SECONDS = 4.0
+SETTLE_S = 4.0
+IDLE_S = 10.0
 LOOKUP_CALLERS = 4000
 FAST = Deployment(
     "path",
@@ -71,11 +80,28 @@
         grown = procs.rss_bytes("host-1") - idle
         result["rss_each_caller_bytes"] = max(0, grown) / LOOKUP_CALLERS
         result.update(await _request_cost(procs, host.entry))
+    result.update(await measure_idle())
     result["bare_h11_us"] = await _bare_cost()
     result["lookup_over_bare"] = result["lookup_cpu_us"] / result["bare_h11_us"]
     return result
 
 
+async def measure_idle() -> dict[str, float]:
+    """Return the share of a core that hosts spend at rest, in a fleet of twelve."""
+    layout = lay_out(
+        GRUPO_VISITAS, Ports(free_ports()), worker_divisor=3, log_level="ERROR"
+    )
+    async with BenchProcesses(layout) as procs:
+        await asyncio.sleep(SETTLE_S)
+        before = {cfg.host_id: procs.cpu_s(cfg.host_id) for cfg in layout.hosts}
+        await asyncio.sleep(IDLE_S)
+        shares = [
+            100 * (procs.cpu_s(host_id) - used) / IDLE_S
+            for host_id, used in before.items()
+        ]
+    return {"idle_percent_mean": fmean(shares), "idle_percent_most": max(shares)}
+
+
 async def _lookup_cost(procs: BenchProcesses, entry: str) -> dict[str, float]:
     first = await _cpu_per_call(procs, entry, _lookups(), 1.0)
     again = await _cpu_per_call(procs, entry, _lookups(), SECONDS)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -43,6 +43,7 @@
 HOST_SIZES = (100, 500, 1_500, 4_500)
 CHANGE_SIZES = (200, 400, 800, 1_600)
 PERMIT_SIZES = (1_000, 2_000, 4_000, 8_000)
+SERVICES = 3
 REGIONS = 56
 DOMAINS = 203
 
@@ -345,6 +346,26 @@
     return {"tick_us": points}
 
 
+def plan_tick_cost() -> dict[str, list[tuple[float, float]]]:
+    """Return the time of a tick of a host that follows plans, against its groups."""
+    points = []
+    for count in REGION_SIZES:
+        core = _core_with(host_list(200))
+        names = [f"region-{num}" for num in range(count)]
+        tables = {name: fresh_table(apportion({name: 1.0})) for name in names}
+        spec = encode_plan(Plan("s", tables))
+        entries = [
+            Entry(f"Plan/s{num}", num + 1, encode_value({"spec": spec}))
+            for num in range(SERVICES)
+        ]
+        core.handle(ConfigSeen(entries, SERVICES), 2.0)
+        seconds, _ = cpu_of(
+            lambda c=core: [c.handle(Tick(), 3.0 + n * 0.1) for n in range(20)]
+        )
+        points.append((count * SERVICES, seconds / 20 * 1e6))
+    return {"plan_tick_us": points}
+
+
 def main() -> None:
     """Measure everything and write the JSON file."""
     points = block_slopes()
@@ -356,6 +377,7 @@
     points.update(keeper_slopes())
     points.update(planner_slopes())
     points.update(tick_cost())
+    points.update(plan_tick_cost())
     points.update(asyncio.run(peer_slopes()))
     from .path import measure_path
 
--- a/lacewingcross/core/claims.py
+++ b/lacewingcross/core/claims.py
@@ -15,7 +15,7 @@
     UpdateObject,
 )
 from .events import ObjectsLoaded, StoredSpec, WriteEnded
-from .rendezvous import hash64, owner
+from .rendezvous import hash64
 from .view import View
 
 SHARDS = 4
@@ -97,9 +97,13 @@
         return shard_kind(self.service, self.number)
 
     def holder(self, key_hash: str) -> str:
-        """Return the claim that holds a key, or an empty string."""
+        """Return the claim that holds a key, or an empty string.
+
+        The newest claim of a key decides. An older one lies in an older segment still,
+        but it had been freed before the newer one was let in.
+        """
         claim = self.head.get(key_hash, "")
-        for segment in self.segments.values():
+        for segment in reversed(self.segments.values()):
             claim = claim or segment.get(key_hash, "")
         return "" if self.freed.get(key_hash) == claim else claim
 
@@ -142,9 +146,7 @@
 
     def owner_of(self, service: str, number: int, now: float) -> str:
         """Return the host to ask for a shard's claims."""
-        view = self._view
-        live = [info.host_id for info in view.members.live(now)]
-        return owner(f"claims/{service}/{number}", live) or view.own.host_id
+        return self._view.owner_among_live(f"claims/{service}/{number}", now)
 
     def busy(self) -> bool:
         """Tell whether a claim waits to be written."""
@@ -255,12 +257,14 @@
         for name in list(batch.segments):
             if now - shard.first_seen.get(name, now) > SEGMENT_TTL_S:
                 old = batch.segments.pop(name)
-                for key_hash in old:
-                    batch.freed.pop(key_hash, None)
+                for key_hash, claim in old.items():
+                    if batch.freed.get(key_hash) == claim:
+                        del batch.freed[key_hash]
 
     def _roll(self, shard: Shard, batch: Batch) -> CreateObject:
         """Put the head's claims into a segment first, then go on with a short head."""
-        batch.rolled = f"s{shard.head_version}"
+        # Names sort in the order in which segments were made.
+        batch.rolled = f"s{shard.head_version:015d}"
         spec = {"claimed": shard.head}
         return CreateObject(self._new_call(shard), f"{shard.kind}/{batch.rolled}", spec)
 
--- a/lacewingcross/core/membership.py
+++ b/lacewingcross/core/membership.py
@@ -63,12 +63,22 @@
         This host, always a member.
     """
 
-    __slots__ = ("_drained", "_kept", "_own_state", "_states", "own")
+    __slots__ = (
+        "_drained",
+        "_kept",
+        "_latest",
+        "_neighbours",
+        "_own_state",
+        "_states",
+        "own",
+    )
 
     def __init__(self, own: HostInfo) -> None:
         self.own = own
         self._own_state = LIVE
         self._kept: _Groups | None = None
+        self._latest: _Groups | None = None
+        self._neighbours: list[HostState] = []
         self._drained: set[str] = set()
         self._states: dict[str, HostState] = {}
 
@@ -116,14 +126,11 @@
         for host_id, state in self._states.items():
             state.neighbour = host_id in chosen
             state.beat_s = chosen.get(host_id, state.beat_s)
+        self._neighbours = [st for st in self._states.values() if st.neighbour]
 
     def due_beats(self, now: float, *, all_now: bool) -> list[HostState]:
         """Return the neighbours whose next heartbeat is due, and plan the next."""
-        due = [
-            state
-            for state in self._states.values()
-            if state.neighbour and (all_now or now >= state.next_beat)
-        ]
+        due = [state for state in self._neighbours if all_now or now >= state.next_beat]
         for state in due:
             state.next_beat = now + state.beat_s
         return due
@@ -261,7 +268,8 @@
                 if state.neighbour or state.broken:
                     turn = self._next_turn(state, now)
                     kept.valid_until = min(kept.valid_until, turn)
-            self._kept = kept
+            self._kept = kept = kept.or_same(self._latest)
+            self._latest = kept
         return kept
 
     def _next_turn(self, state: HostState, now: float) -> float:
@@ -273,11 +281,27 @@
         )
         return min((turn for turn in turns if turn > now), default=float("inf"))
 
+    def derived(self, now: float) -> dict[str, str]:
+        """Return a store for what follows from the live and leaving members alone.
+
+        It is a new, empty one whenever these change. Choosing an owner among thousands
+        of hosts takes milliseconds, and each is asked for again and again.
+        """
+        return self._groups(now).derived
+
     def live(self, now: float, region: str | None = None) -> list[HostInfo]:
         """Return the live members, of one region if given."""
         groups = self._groups(now)
         return groups.live if region is None else groups.by_region.get(region, [])
 
+    def live_in_domain(self, failure_domain: str, now: float) -> list[HostInfo]:
+        """Return the live members of a failure domain."""
+        return self._groups(now).by_domain.get(failure_domain, [])
+
+    def live_domains(self, now: float) -> int:
+        """Return the number of failure domains with a live member."""
+        return len(self._groups(now).by_domain)
+
     def leaving(self, now: float) -> list[HostInfo]:
         """Return the members that are leaving."""
         return self._groups(now).leaving
@@ -286,11 +310,21 @@
 class _Groups:
     """Members by state at one moment."""
 
-    __slots__ = ("by_region", "leaving", "live", "made_at", "valid_until")
+    __slots__ = (
+        "by_domain",
+        "by_region",
+        "derived",
+        "leaving",
+        "live",
+        "made_at",
+        "valid_until",
+    )
 
     def __init__(self, now: float) -> None:
         self.made_at = now
         self.valid_until = float("inf")
+        self.derived: dict[str, str] = {}
+        self.by_domain: dict[str, list[HostInfo]] = {}
         self.live: list[HostInfo] = []
         self.leaving: list[HostInfo] = []
         self.by_region: dict[str, list[HostInfo]] = {}
@@ -300,9 +334,20 @@
         if state == LIVE:
             self.live.append(info)
             self.by_region.setdefault(info.region, []).append(info)
+            self.by_domain.setdefault(info.failure_domain, []).append(info)
         elif state == LEAVING:
             self.leaving.append(info)
 
+    def or_same(self, earlier: "_Groups | None") -> "_Groups":
+        """Return `earlier` with new times if it has the same members, else this."""
+        if earlier is None:
+            return self
+        if (earlier.live, earlier.leaving) != (self.live, self.leaving):
+            return self
+        earlier.made_at = self.made_at
+        earlier.valid_until = self.valid_until
+        return earlier
+
 
 def _place(info: HostInfo) -> Place:
     return Place(info.host_id, info.region, info.failure_domain)
--- a/lacewingcross/core/node.py
+++ b/lacewingcross/core/node.py
@@ -95,7 +95,7 @@
         self._beat_at = float("-inf")
         self._pulled_at = float("-inf")
         self._changed = True
-        self._seen_live: tuple[str, ...] = ()
+        self._seen_live: list[HostInfo] = []
         self.epoch = 0
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -155,8 +155,9 @@
 
     def _note_membership(self, now: float) -> None:
         """Start a new epoch when the live hosts have changed."""
-        live = tuple(info.host_id for info in self.view.members.live(now))
-        if live != self._seen_live:
+        live = self.view.members.live(now)
+        if live is not self._seen_live:
+            # The list is another one only when its members are.
             self._seen_live = live
             self.epoch += 1
 
--- a/lacewingcross/core/reports.py
+++ b/lacewingcross/core/reports.py
@@ -103,8 +103,8 @@
         Every failure domain writes after every change, so the pause grows with
         their number and all of them together stay within the platform's rate.
         """
-        domains = {info.failure_domain for info in self._view.members.live(now)}
-        return max(CHANGED_S, EACH_DOMAIN_S * len(domains))
+        domains = self._view.members.live_domains(now)
+        return max(CHANGED_S, EACH_DOMAIN_S * domains)
 
     def _spec(self, now: float) -> dict[str, object]:
         view = self._view
--- a/lacewingcross/core/view.py
+++ b/lacewingcross/core/view.py
@@ -36,26 +36,40 @@
         all, a live host of another region, so that backend servers whose entry
         hosts have all gone can still be used.
         """
+        key = f"keeper/{service}/{region}"
+        known = self.members.derived(now).get(key)
+        return known or self._choose(key, self._keeper_candidates(region, now), now)
+
+    def _keeper_candidates(self, region: str, now: float) -> list[HostInfo]:
         candidates = self.members.live(now, region)
         if not candidates:
             leaving = self.members.leaving(now)
             candidates = [info for info in leaving if info.region == region]
-        if not candidates:
-            candidates = self.members.live(now) or [self.own]
-        key = f"keeper/{service}/{region}"
-        return owner(key, [info.host_id for info in candidates]) or self.own.host_id
+        return candidates or self.members.live(now)
+
+    def _choose(self, key: str, candidates: list[HostInfo], now: float) -> str:
+        """Choose by rendezvous, this host if there are no candidates; keep it."""
+        chosen = owner(key, [info.host_id for info in candidates])
+        result = chosen or self.own.host_id
+        self.members.derived(now)[key] = result
+        return result
+
+    def owner_among_live(self, key: str, now: float) -> str:
+        """Return the live host that owns `key`."""
+        known = self.members.derived(now).get(key)
+        return known or self._choose(key, self.members.live(now), now)
 
     def planner_of(self, service: str, now: float) -> str:
         """Return the host that should plan a service."""
-        live = self.members.live(now) or [self.own]
-        key = f"planner/{service}"
-        return owner(key, [info.host_id for info in live]) or self.own.host_id
+        return self.owner_among_live(f"planner/{service}", now)
 
-    def reporter_of(self, failure_domain: str, now: float) -> str | None:
+    def reporter_of(self, failure_domain: str, now: float) -> str:
         """Return the host that reports the state of a failure domain."""
-        live = self.members.live(now)
-        ids = [info.host_id for info in live if info.failure_domain == failure_domain]
-        return owner(f"reporter/{failure_domain}", ids)
+        key = f"reporter/{failure_domain}"
+        known = self.members.derived(now).get(key)
+        if known:
+            return known
+        return self._choose(key, self.members.live_in_domain(failure_domain, now), now)
 
     def should_watch(self, now: float) -> bool:
         """Tell whether this host watches the platform itself.
@@ -63,13 +77,10 @@
         A waiting watch counts as a call, so in a large failure domain only a few
         hosts watch and the others pull from peers; in a small one all do.
         """
-        own = self.own
-        live = self.members.live(now)
-        ids = [
-            info.host_id for info in live if info.failure_domain == own.failure_domain
-        ]
-        chosen = relays(own.failure_domain, ids)
-        return own.host_id in chosen or len(chosen) < RELAYS
+        domain = self.own.failure_domain
+        live = self.members.live_in_domain(domain, now)
+        chosen = relays(domain, [info.host_id for info in live])
+        return self.own.host_id in chosen or len(chosen) < RELAYS
 
     def leaving_servers(self, service: str) -> set[str]:
         """Return servers that leave by drain, by the list or by their own word."""
--- a/lacewingcross/host/app.py
+++ b/lacewingcross/host/app.py
@@ -27,7 +27,7 @@
 
 INCARNATION_BITS = 24
 BUSY_TICK_S = 0.02
-IDLE_TICK_S = 0.1
+IDLE_TICK_S = 0.2
 LEAVE_NOTICE_S = 2.0
 FINISH_POLL_S = 0.05
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -152,36 +152,85 @@
 TestSmallHeads.settings = settings(max_examples=60, stateful_step_count=40)
 
 
-def _serve(owner, actions, store, answers):
-    """Play a faultless platform; count its writes."""
-    todo = list(actions)
-    writes = 0
-    while todo:
-        action = todo.pop(0)
-        if isinstance(action, act.SendPeer):
-            answers.append(action.message.outcome)
-        elif isinstance(action, act.LoadObjects):
-            todo += owner.loaded(ObjectsLoaded(action.call_id, []), 0.0)
-        elif isinstance(action, act.CreateObject | act.UpdateObject):
-            writes += 1
-            store[action.key] = action.spec
-            todo += owner.write_ended(WriteEnded(action.call_id, "ok", writes), 0.0)
-    return writes
+class Faultless:
+    """A platform without faults around one owner."""
+
+    def __init__(self):
+        self.owner = keeper()
+        self.now = 0.0
+        self.writes = 0
+        self.store = {}
+        self.answers = []
+
+    def take(self, actions):
+        todo = list(actions)
+        while todo:
+            action = todo.pop(0)
+            if isinstance(action, act.SendPeer):
+                self.answers.append(action.message.outcome)
+            elif isinstance(action, act.LoadObjects):
+                loaded = ObjectsLoaded(action.call_id, [])
+                todo += self.owner.loaded(loaded, self.now)
+            elif isinstance(action, act.CreateObject | act.UpdateObject):
+                self.writes += 1
+                self.store[action.key] = action.spec
+                ended = WriteEnded(action.call_id, "ok", self.writes)
+                todo += self.owner.write_ended(ended, self.now)
+
+    def claim(self, key, claim):
+        message = msg.Claim("s", claim, key, claim)
+        self.take(self.owner.on_claim("h", message, self.now))
+
+    def free(self, key, claim):
+        message = msg.Unclaim("s", key, claim)
+        self.take(self.owner.on_unclaim(message, self.now))
+
+    def tick(self, seconds=0.1):
+        self.now += seconds
+        self.take(self.owner.tick(self.now))
 
 
 def test_many_claims_cost_few_writes():
     """An hourly surge of keyed bookings; the platform takes a few hundred writes."""
-    owner, store, answers = keeper(), {}, []
-    writes = 0
-    now = 0.0
+    platform = Faultless()
     for num in range(2_000):
-        key = cl.hash_key("s", f"surge-{num}")
-        message = msg.Claim("s", f"r{num}", key, f"c{num}")
-        writes += _serve(owner, owner.on_claim("h", message, now), store, answers)
-        now += 0.002
+        platform.claim(cl.hash_key("s", f"surge-{num}"), f"c{num}")
+        platform.now += 0.002
         if num % 10 == 0:
-            writes += _serve(owner, owner.tick(now), store, answers)
-    writes += _serve(owner, owner.tick(now + 1.0), store, answers)
-    assert answers == [cl.CLAIMED] * 2_000
-    assert writes < 700
-    assert all(len(str(spec)) < 60_000 for spec in store.values())
+            platform.tick(0.0)
+    platform.tick(1.0)
+    assert platform.answers == [cl.CLAIMED] * 2_000
+    assert platform.writes < 700
+    assert all(len(str(spec)) < 60_000 for spec in platform.store.values())
+
+
+def test_key_claimed_again_stays_claimed_when_heads_have_rolled(monkeypatch):
+    """A key is freed, claimed again, and both claims lie in segments by then.
+
+    What a user would see: the first request's host gives its key back once more, the
+    second request's claim counts as free, and a third copy of the booking runs.
+    """
+    monkeypatch.setattr(cl, "HEAD_MAX", 2)
+    platform = Faultless()
+
+    def claim(key, name):
+        platform.answers.clear()
+        platform.claim(key, name)
+        platform.tick()
+        return platform.answers[:]
+
+    key, *others = KEYS
+    assert claim(key, "first") == [cl.CLAIMED]
+    for number, other in enumerate(others[:3]):
+        claim(other, f"x{number}")
+    platform.free(key, "first")
+    platform.tick()
+    assert claim(key, "second") == [cl.CLAIMED]
+    for number, other in enumerate(KEYS[4:] + others[:1]):
+        platform.free(other, f"x{number}")
+        platform.tick()
+        claim(other, f"y{number}")
+    assert len([name for name in platform.store if "/s" in name]) >= 2
+    platform.free(key, "first")
+    platform.tick()
+    assert claim(key, "third") == [cl.TAKEN]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -87,6 +87,19 @@
     assert view.info("h3") is not None
 
 
+def test_what_is_derived_from_the_live_set_goes_when_it_changes():
+    """Owners are kept for speed; a host that dies must not stay an owner."""
+    view = members()
+    view.on_heartbeat("h1", beat(), 1.0)
+    view.on_heartbeat("h2", beat(), 1.0)
+    view.derived(1.1)["planner/s"] = "h1"
+    view.on_heartbeat("h1", beat(revision=2), 2.0)
+    view.on_heartbeat("h2", beat(revision=2), 2.0)
+    assert view.derived(2.6) == {"planner/s": "h1"}
+    view.on_broken("h1", 2.7)
+    assert view.derived(2.7) == {}
+
+
 def _fleet(count, domains, regions):
     return [
         Place(f"h{num}", f"r{num % domains % regions}", f"d{num % domains}")
