--- a/lacewingcross/core/planning.py
+++ b/lacewingcross/core/planning.py
@@ -11,6 +11,7 @@
 from .view import View
 
 STEP_S = 1.0
+EACH_GROUP_S = 0.04
 WRITE_PATIENCE_S = 10.0
 CALL_BASE = 1 << 40
 
@@ -61,9 +62,15 @@
         yield Count(f"plan.write-{ended.outcome}")
         yield Log("plan-written", {"service": service, "outcome": ended.outcome})
 
+    def _pause(self) -> float:
+        """Return the time between steps, longer with more groups to go through."""
+        policies = self._view.config.policies.values()
+        groups = max((len(policy.groups) for policy in policies), default=0)
+        return max(STEP_S, EACH_GROUP_S * groups)
+
     def tick(self, now: float) -> Iterator[Action]:
-        """Plan each owned service once in `STEP_S`."""
-        if now - self._stepped_at < STEP_S or not self._view.config.complete:
+        """Plan each owned service, once in a while."""
+        if now - self._stepped_at < self._pause() or not self._view.config.complete:
             return
         self._stepped_at = now
         own = self._view.own.host_id
