No circle among the HTTP modules; a wrapper of one line out

Cause: read as a newcomer: connection, exchange and listener imported each other, and a module held one call of asyncio.run. Change: each says by a Protocol what it needs of the next. Behaviour as before.

--- a/lacewingcross/cli/daemons.py
+++ b/lacewingcross/cli/daemons.py
@@ -7,7 +7,6 @@
 from ..host.app import run_host
 from ..standins.backend import BackendStandin
 from ..standins.platform import PlatformStandin
-from .runner import run
 
 
 def host(*, cfg: str) -> None:
@@ -20,7 +19,7 @@
     cfg : str
         Settings file.
     """
-    run(run_host(settings.load_host(cfg)))
+    asyncio.run(run_host(settings.load_host(cfg)))
 
 
 def platform(*, cfg: str) -> None:
@@ -35,7 +34,7 @@
     """
     loaded = settings.load_platform(cfg)
     logs.setup(loaded.log_level, standin="platform")
-    run(_serve(PlatformStandin(loaded)))
+    asyncio.run(_serve(PlatformStandin(loaded)))
 
 
 def backend(*, cfg: str) -> None:
@@ -50,7 +49,7 @@
     """
     loaded = settings.load_backend(cfg)
     logs.setup(loaded.log_level, standin=loaded.server_id)
-    run(_serve(BackendStandin(loaded)))
+    asyncio.run(_serve(BackendStandin(loaded)))
 
 
 async def _serve(standin: PlatformStandin | BackendStandin) -> None:
--- a/lacewingcross/cli/demo.py
+++ b/lacewingcross/cli/demo.py
@@ -1,9 +1,8 @@
 """The demo command; what it shows is in `lacewingcross.demo`."""
 
+import asyncio
 import sys
 
-from .runner import run
-
 
 def demo(*, seed: int = 1) -> None:
     """Show traffic being steered, all in one process, in under a minute.
@@ -17,5 +16,5 @@
     """
     from ..demo import run_demo
 
-    run(run_demo(seed))
+    asyncio.run(run_demo(seed))
     sys.stdout.flush()
--- a/lacewingcross/cli/resources.py
+++ b/lacewingcross/cli/resources.py
@@ -1,5 +1,6 @@
 """Operators' commands on resources."""
 
+import asyncio
 import getpass
 import os
 import ssl
@@ -16,7 +17,6 @@
 from ..platform_client import PlatformClient, StoredObject
 from ..tls import TlsFiles
 from .output import print_json, print_table
-from .runner import run
 
 Output = Literal["table", "json"]
 PLATFORM_VARIABLE = "LACEWINGCROSS_PLATFORM"
@@ -68,7 +68,7 @@
     """
     data = settings.read_json("/dev/stdin" if file == "-" else file)
     documents = read_documents(data, file)
-    run(_apply(_operator(platform), documents, wait, timeout))
+    asyncio.run(_apply(_operator(platform), documents, wait, timeout))
 
 
 async def _apply(
@@ -100,7 +100,7 @@
     output
         Form of the output.
     """
-    run(_get(_operator(platform), _kind(kind), names, output))
+    asyncio.run(_get(_operator(platform), _kind(kind), names, output))
 
 
 async def _get(
@@ -146,7 +146,7 @@
         IP:PORT of the platform.
     """
     known = tuple(_kind(kind) for kind in kinds)
-    run(_watch(_operator(platform), known or (*res.OPERATOR_KINDS, res.PLAN)))
+    asyncio.run(_watch(_operator(platform), known or (*res.OPERATOR_KINDS, res.PLAN)))
 
 
 async def _watch(operator: Operator, kinds: tuple[str, ...]) -> None:
@@ -167,7 +167,7 @@
     output
         Form of the output.
     """
-    run(_status(_operator(platform), output))
+    asyncio.run(_status(_operator(platform), output))
 
 
 async def _status(operator: Operator, output: Output) -> None:
@@ -282,7 +282,7 @@
         spec["service"] = service
     document = Document(res.DRAIN, _drain_name(target, value), spec)
     res.parse(document.kind, document.name, spec)
-    run(_drain(_operator(platform), document, wait, timeout))
+    asyncio.run(_drain(_operator(platform), document, wait, timeout))
 
 
 def _drain_name(target: str, value: str) -> str:
@@ -318,7 +318,7 @@
     platform : str
         IP:PORT of the platform.
     """
-    run(_delete(_operator(platform), res.DRAIN, _drain_name(target, value)))
+    asyncio.run(_delete(_operator(platform), res.DRAIN, _drain_name(target, value)))
 
 
 def delete(kind: str, name: str, *, platform: str = "") -> None:
@@ -335,7 +335,7 @@
     platform : str
         IP:PORT of the platform.
     """
-    run(_delete(_operator(platform), _kind(kind), name))
+    asyncio.run(_delete(_operator(platform), _kind(kind), name))
 
 
 async def _delete(operator: Operator, kind: str, name: str) -> None:
@@ -370,7 +370,7 @@
     """
     if not address and not caller:
         raise UserError("bad-arguments", "give --address or --caller")
-    run(_explain(_operator(platform), service, address, caller, output))
+    asyncio.run(_explain(_operator(platform), service, address, caller, output))
 
 
 async def _explain(
@@ -397,7 +397,7 @@
     platform : str
         IP:PORT of the platform.
     """
-    run(_export(_operator(platform)))
+    asyncio.run(_export(_operator(platform)))
 
 
 async def _export(operator: Operator) -> None:
--- a/lacewingcross/http1_connection.py
+++ b/lacewingcross/http1_connection.py
@@ -1,16 +1,14 @@
 """One HTTP/1.1 connection from a caller, parsed by h11, with bounded waits."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
 import h11
 
 from . import headers as hd
 from .http1_exchange import Exchange, RequestHead
 
-if TYPE_CHECKING:
-    from .http1_server import HttpServer
-
 MAX_HEAD = 16 * 1024
 HEAD_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
@@ -20,12 +18,41 @@
 LOW_WATER = 16 * 1024
 
 
+class FastPath(Protocol):
+    """Answers for byte-identical requests, without parsing them again."""
+
+    def reply(self, data: bytes) -> bytes | None:
+        """Return the whole response for the bytes of a whole request, or None."""
+        ...
+
+
+class Listener(Protocol):
+    """The listener that a connection belongs to, as far as it needs it."""
+
+    closing: bool
+    fast_path: FastPath | None
+    now: Callable[[], float]
+    on_bad_input: Callable[[str], None]
+
+    def admit(self, conn: "ServerConnection", client: str) -> str:
+        """Count a connection; return why it may not stay, or an empty string."""
+        ...
+
+    def forget(self, conn: "ServerConnection", client: str) -> None:
+        """Stop counting a connection."""
+        ...
+
+    async def run(self, exchange: Exchange) -> None:
+        """Run the handler of a request."""
+        ...
+
+
 class ServerConnection(asyncio.Protocol):
     """One connection from a caller.
 
     Parameters
     ----------
-    server : HttpServer
+    server : Listener
         The listener that it belongs to.
     """
 
@@ -45,7 +72,7 @@
         "transport",
     )
 
-    def __init__(self, server: "HttpServer") -> None:
+    def __init__(self, server: Listener) -> None:
         self._server = server
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
         self._client = ""
--- a/lacewingcross/http1_exchange.py
+++ b/lacewingcross/http1_exchange.py
@@ -4,15 +4,12 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import h11
 
 from . import headers as hd
 
-if TYPE_CHECKING:
-    from .http1_connection import ServerConnection
-
 
 class CallerGoneError(Exception):
     """The other side closed the connection or stopped moving."""
@@ -28,6 +25,41 @@
     client: str
 
 
+class Carrier(Protocol):
+    """The connection that carries an exchange, as far as the exchange needs it."""
+
+    exchange: "Exchange | None"
+    lost: bool
+
+    def pull(self) -> None:
+        """Handle what has arrived so far."""
+        ...
+
+    def invite_body(self) -> None:
+        """Tell a caller that waits for it to send its body."""
+        ...
+
+    def body_taken(self, size: int) -> None:
+        """Make room for more of the body."""
+        ...
+
+    def send(self, event: h11.Event) -> None:
+        """Send one event of the response."""
+        ...
+
+    async def drained(self) -> None:
+        """Wait until the caller has taken enough."""
+        ...
+
+    def exchange_done(self, exchange: "Exchange") -> None:
+        """Go on to the next request."""
+        ...
+
+    def abort(self) -> None:
+        """Drop the connection."""
+        ...
+
+
 class Exchange:
     """One request and its response on a server connection.
 
@@ -37,7 +69,7 @@
 
     __slots__ = ("_body", "_conn", "_ended", "_wake", "head", "on_gone", "started")
 
-    def __init__(self, conn: "ServerConnection", head: RequestHead) -> None:
+    def __init__(self, conn: Carrier, head: RequestHead) -> None:
         self._conn = conn
         self._body: deque[bytes] = deque()
         self._ended = False
--- a/lacewingcross/http1_server.py
+++ b/lacewingcross/http1_server.py
@@ -3,23 +3,14 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 from . import logs
-from .http1_connection import HEAD_TIMEOUT_S, ServerConnection
+from .http1_connection import HEAD_TIMEOUT_S, FastPath, ServerConnection
 from .http1_exchange import CallerGoneError, Exchange
 
 SWEEP_S = 1.0
 
 
-class FastPath(Protocol):
-    """Answers for byte-identical requests, without parsing them again."""
-
-    def reply(self, data: bytes) -> bytes | None:
-        """Return the whole response for the bytes of a whole request, or None."""
-        ...
-
-
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
