A policy that regroups callers is refused unless accepted; long functions split

Cause: read while listing what shifts exist: editing a policy's blocks moves callers to another group's buckets at once, and neither ledger nor host limit sees it. Ruled out for now: pacing the change of the mapping itself (the plan would carry both mappings; named in design/plans.md, not built). The planner's step and the status command are split; the hold reason is cleared with each step.

--- a/lacewingcross/cli/resources.py
+++ b/lacewingcross/cli/resources.py
@@ -6,6 +6,7 @@
 import ssl
 import sys
 import time
+from dataclasses import dataclass, field
 from typing import Literal
 
 from .. import settings
@@ -13,7 +14,7 @@
 from ..core.plan import decode_plan
 from ..core.reports import REPORT_KIND
 from ..errors import UserError
-from ..operations import Document, Operator, read_documents
+from ..operations import Document, InForce, Operator, read_documents
 from ..platform_client import PlatformClient, StoredObject
 from ..tls import TlsFiles
 from .output import print_json, print_table
@@ -48,7 +49,12 @@
 
 
 def apply(
-    *, file: str, platform: str = "", wait: bool = False, timeout: float = 30.0
+    *,
+    file: str,
+    platform: str = "",
+    wait: bool = False,
+    timeout: float = 30.0,
+    regroup: bool = False,
 ) -> None:
     """Create or replace the resources in a file.
 
@@ -65,18 +71,25 @@
         Return only when every live host has it in force.
     timeout : float
         Longest wait in seconds.
+    regroup : bool
+        Accept that callers change their client group: they move at once, outside the
+        shift cap.
     """
     data = settings.read_json("/dev/stdin" if file == "-" else file)
     documents = read_documents(data, file)
-    asyncio.run(_apply(_operator(platform), documents, wait, timeout))
+    asyncio.run(_apply(_operator(platform), documents, wait, timeout, regroup))
 
 
 async def _apply(
-    operator: Operator, documents: list[Document], wait: bool, timeout: float
+    operator: Operator,
+    documents: list[Document],
+    wait: bool,
+    timeout: float,
+    regroup: bool = False,
 ) -> None:
     newest = 0
     for document in documents:
-        applied = await operator.apply(document)
+        applied = await operator.apply(document, regroup=regroup)
         newest = max(newest, applied.version)
         print(f"{applied.key} {applied.change} version={applied.version}")
     if wait:
@@ -170,54 +183,67 @@
     asyncio.run(_status(_operator(platform), output))
 
 
+@dataclass(slots=True)
+class _Reported:
+    """What the failure domains' reports say, put together."""
+
+    hosts: dict[str, dict] = field(default_factory=dict)
+    last_refusals: dict[str, str] = field(default_factory=dict)
+    rejected: dict[str, str] = field(default_factory=dict)
+    leaving: dict[str, int] = field(default_factory=dict)
+    loads: dict[str, dict] = field(default_factory=dict)
+
+    def add(self, spec: object) -> None:
+        """Take in one report."""
+        for name in self.__slots__:
+            part = spec.get(name) if isinstance(spec, dict) else None
+            getattr(self, name).update(part or {})
+
+
 async def _status(operator: Operator, output: Output) -> None:
     items = await operator.resources(*res.OPERATOR_KINDS, res.PLAN)
-    reports = await operator.resources(REPORT_KIND)
+    said = _Reported()
+    for report in await operator.resources(REPORT_KIND):
+        said.add(report.spec())
     state = await operator.in_force(0)
-    hosts: dict[str, dict] = {}
-    refusals: dict[str, str] = {}
-    rejected: dict[str, str] = {}
-    leaving: dict[str, int] = {}
-    loads: dict[str, dict] = {}
-    for report in reports:
-        spec = report.spec() or {}
-        hosts.update(spec.get("hosts", {}))
-        refusals.update(spec.get("last_refusals", {}))
-        rejected.update(spec.get("rejected", {}))
-        leaving.update(spec.get("leaving", {}))
-        loads.update(spec.get("loads", {}))
-    resources = []
-    for item in items:
-        state.wanted = item.version
-        behind = state.behind()
-        in_force = len(state.live) - len(behind)
-        resources.append(
-            {
-                "resource": item.key,
-                "version": item.version,
-                "in_force": f"{in_force}/{len(state.live)}",
-                "why_not": rejected.get(item.key) or ",".join(behind),
-                "progress": _progress(item, leaving),
-                "last_refusal": refusals.get(res.split_key(item.key)[1], ""),
-            }
-        )
+    rows = [_status_row(item, state, said) for item in items]
     if output == "json":
-        data = {"resources": resources, "hosts": hosts, "leaving": leaving}
-        print_json({**data, "loads": loads})
+        data = {"resources": rows, "hosts": said.hosts, "leaving": said.leaving}
+        print_json({**data, "loads": said.loads})
         return
     columns = ("resource", "version", "in_force", "why_not", "progress", "last_refusal")
-    rows = [[row[column] or "-" for column in columns] for row in resources]
-    print_table([column.upper() for column in columns], rows)
+    cells = [[row[column] or "-" for column in columns] for row in rows]
+    print_table([column.upper() for column in columns], cells)
+    _print_hosts(said)
+
+
+def _status_row(
+    item: StoredObject, state: InForce, said: _Reported
+) -> dict[str, object]:
+    state.wanted = item.version
+    behind = state.behind()
+    in_force = len(state.live) - len(behind)
+    return {
+        "resource": item.key,
+        "version": item.version,
+        "in_force": f"{in_force}/{len(state.live)}",
+        "why_not": said.rejected.get(item.key) or ",".join(behind),
+        "progress": _progress(item, said.leaving),
+        "last_refusal": said.last_refusals.get(res.split_key(item.key)[1], ""),
+    }
+
+
+def _print_hosts(said: _Reported) -> None:
     print()
     rows = [
-        (host_id, said.get("state"), said.get("revision"), said.get("behind"))
-        for host_id, said in sorted(hosts.items())
+        (host_id, host.get("state"), host.get("revision"), host.get("behind"))
+        for host_id, host in sorted(said.hosts.items())
     ]
     print_table(("HOST", "STATE", "IN-FORCE", "BUCKETS-BEHIND"), rows)
     print()
     rows = [
         (name, load["in_flight"], load["queued"], load["limit"], _headroom(load))
-        for name, load in sorted(loads.items())
+        for name, load in sorted(said.loads.items())
     ]
     print_table(("SERVICE/REGION", "IN-FLIGHT", "QUEUED", "LIMIT", "HEADROOM"), rows)
 
--- a/lacewingcross/core/planner.py
+++ b/lacewingcross/core/planner.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter
 from dataclasses import dataclass, field
+from operator import ne
 
 from . import messages as msg
 from .plan import (
@@ -155,10 +156,11 @@
         """Return the next plan, or None when nothing should change."""
         if plan is None:
             return self._first_plan(given)
+        self.hold_reason = ""
         moves = self.live_moves(plan, given.cap, now)
+        room = self._room(plan, given, now)
         tables: dict[str, list[str]] = {}
         moved: dict[str, int] = {}
-        room = self._room(plan, given, now)
         causes: set[str] = set()
         for group in given.policy.groups:
             table = plan.tables.get(group.name)
@@ -166,30 +168,52 @@
                 tables[group.name] = self._initial_table(group, given)
                 causes.add("new-group")
                 continue
-            have = Counter(table)
-            target, cause = self._target(group, have, given, now)
-            if target == have:
-                tables[group.name] = table
-                continue
-            target = self._within_room(table, target, room)
             budget = self.budget(moves, given.cap, group.name)
-            new_table, count = move_towards(table, target, budget)
+            new_table, cause = self._next_table(group, table, given, room, budget, now)
             tables[group.name] = new_table
-            self._take_room(table, new_table, room)
+            count = sum(map(ne, table, new_table))
             if count:
                 moved[group.name] = count
                 causes.add(cause)
         if not moved and set(tables) == set(plan.tables):
             return None
-        ledger = moves
-        if moved:
-            self._counter += 1
-            move_id = f"{self.tag}.{self._counter}"
-            ledger = (*moves, Move(move_id, moved, ",".join(sorted(causes))))
-            if len(ledger) > LEDGER_MAX:
-                self.hold_reason = "ledger-full"
-                return None
-        return Step(Plan(self.service, tables, ledger), ",".join(sorted(causes)))
+        return self._as_step(tables, moves, moved, ",".join(sorted(causes)))
+
+    def _next_table(
+        self,
+        group: ClientGroup,
+        table: list[str],
+        given: PlannerInput,
+        room: dict[str, float],
+        budget: int,
+        now: float,
+    ) -> tuple[list[str], str]:
+        """Return a group's next table and the cause; takes its gains from `room`."""
+        have = Counter(table)
+        target, cause = self._target(group, have, given, now)
+        if target == have:
+            return table, ""
+        target = self._within_room(table, target, room)
+        new_table, _ = move_towards(table, target, budget)
+        self._take_room(table, new_table, room)
+        return new_table, cause
+
+    def _as_step(
+        self,
+        tables: dict[str, list[str]],
+        moves: tuple[Move, ...],
+        moved: dict[str, int],
+        cause: str,
+    ) -> Step | None:
+        """Put the new tables and their move together, if the ledger has room."""
+        if not moved:
+            return Step(Plan(self.service, tables, moves), cause)
+        if len(moves) >= LEDGER_MAX:
+            self.hold_reason = "ledger-full"
+            return None
+        self._counter += 1
+        move = Move(f"{self.tag}.{self._counter}", moved, cause)
+        return Step(Plan(self.service, tables, (*moves, move)), cause)
 
     def _first_plan(self, given: PlannerInput) -> Step:
         tables = {
--- a/lacewingcross/operations.py
+++ b/lacewingcross/operations.py
@@ -109,11 +109,21 @@
         self.platform = platform
         self._now = (clock or SystemClock()).monotonic
 
-    async def apply(self, document: Document) -> Applied:
+    async def apply(self, document: Document, *, regroup: bool = False) -> Applied:
         """Create or replace a resource by conditional update.
 
+        Parameters
+        ----------
+        document : Document
+            What to store.
+        regroup : bool, default=False
+            Accept a policy that changes which client group callers belong to.
+
         Raises
         ------
+        UserError
+            With code ``regroup`` for such a policy otherwise: the shift cap counts
+            buckets of a group and cannot see callers that change their group.
         PlatformError
             With code ``conflict`` when somebody else was first; the message says
             who, and which fields differ.
@@ -128,6 +138,13 @@
             raise self._conflict(document, stored)
         if stored.spec() == document.spec:
             return Applied(document.key, stored.version, "unchanged")
+        changed = _regrouped(stored.spec(), document)
+        if changed and not regroup:
+            raise UserError(
+                "regroup",
+                f"{document.key}: callers of {changed} would move at once, outside the "
+                "shift cap; change weights instead, or accept it with --regroup",
+            )
         try:
             written = await self.platform.update(
                 document.key, document.spec, stored.version
@@ -324,6 +341,27 @@
         return [_host_text(info) for info in found.hosts]
 
 
+def _regrouped(stored: object, document: Document) -> str:
+    """Return the client groups whose callers a new policy would move, if any."""
+    if document.kind != res.POLICY:
+        return ""
+    before, after = _membership(stored), _membership(document.spec)
+    return ", ".join(
+        sorted(name for name in before | after if before.get(name) != after.get(name))
+    )
+
+
+def _membership(spec: object) -> dict[str, object]:
+    """Return what decides on the callers of each group: its blocks, its place."""
+    groups = spec.get("groups", []) if isinstance(spec, dict) else []
+    members = {
+        group["name"]: (sorted(group.get("blocks", [])), place == 0)
+        for place, group in enumerate(groups)
+    }
+    table = spec.get("block_table") if isinstance(spec, dict) else None
+    return {**members, "block_table": table} if table else members
+
+
 def _host_text(info: HostInfo) -> str:
     return f"{info.host_id} {info.entry} ({info.region})"
 
--- a/tests/test_commands_processes.py
+++ b/tests/test_commands_processes.py
@@ -47,6 +47,17 @@
         assert status == 1
         assert "conflict" in err
 
+        _, out, _ = await _run(procs, "get", "steeringpolicy", "booking", "-o", "json")
+        (policy,) = json.loads(out)["items"]
+        policy["spec"]["groups"][0]["blocks"] = ["10.9.0.0/16"]
+        regrouped = json.dumps(policy).encode()
+        status, _, err = await _run(procs, "apply", "-f", "-", stdin=regrouped)
+        assert (status, "outside the shift cap" in err) == (1, True)
+        status, out, _ = await _run(
+            procs, "apply", "-f", "-", "--regroup", stdin=regrouped
+        )
+        assert (status, "updated" in out) == (0, True)
+
         status, out, _ = await _run(procs, "export")
         exported = out.encode()
         assert status == 0
