--- a/lacewingcross/report.py
+++ b/lacewingcross/report.py
@@ -141,6 +141,8 @@
     yield "Goodput over capacity", draw(lambda axes: _goodput(axes, cases))
     yield "Requests in service over time", draw(lambda axes: _busy(axes, cases))
     yield "Shifts: buckets at home", draw(lambda axes: _shifts(axes, cases))
+    yield "Most moved in a window, over the cap", draw(lambda axes: _caps(axes, cases))
+    yield "Drain time", draw(lambda axes: _drains(axes, cases))
 
 
 def _latency(axes: Any, cases: Cases) -> None:
@@ -179,3 +181,21 @@
             axes.plot(times, home, label=f"{key} {version}")
     axes.set_xlabel("s")
     axes.set_ylabel("buckets of north at home")
+
+
+def _caps(axes: Any, cases: Cases) -> None:
+    names = [key for key in cases if VERSIONS[0] in cases[key]]
+    moved = [cases[key][VERSIONS[0]].get("most_moved_over_cap", 0.0) for key in names]
+    axes.bar(names, moved, label="most moved")
+    axes.axhline(1.0, color="red", linewidth=1, label="cap")
+    axes.tick_params(labelsize=7)
+
+
+def _drains(axes: Any, cases: Cases) -> None:
+    rows = [
+        (f"{key} {version}", figures["drain_s"])
+        for key, version, figures in _rows(cases)
+        if figures.get("drain_s")
+    ]
+    axes.barh([name for name, _ in rows], [value for _, value in rows], label="drain")
+    axes.set_xlabel("s until idle")
