The core names the random source it needs and imports none

Cause: four modules of the core imported random for a type only; whoever checks that the core has no random source of its own cannot tell. Change: a Protocol with the one method that is used; drivers pass random.Random as before.

--- a/lacewingcross/core/keeper.py
+++ b/lacewingcross/core/keeper.py
@@ -1,12 +1,12 @@
 """The slot keeper of one service in one region: a joint queue and slot permits."""
 
-import random
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from . import messages as msg
 from .estimate import ServiceTimes
+from .randomness import RandomSource
 from .servers import ANSWERED, ServerTable
 
 LEASE_S = 5.0
@@ -67,7 +67,7 @@
     term : int
         Number of this keeper's reign, unique over hosts and incarnations; it makes
         permit numbers unique so that a successor can adopt them.
-    rng : random.Random
+    rng : RandomSource
         Source of the spread in retry times.
     policy : KeeperPolicy, optional
         Admission settings.
@@ -97,7 +97,7 @@
         service: str,
         region: str,
         term: int,
-        rng: random.Random,
+        rng: RandomSource,
         policy: KeeperPolicy | None = None,
     ) -> None:
         self.service = service
--- a/lacewingcross/core/lookup.py
+++ b/lacewingcross/core/lookup.py
@@ -1,11 +1,11 @@
 """Look-up: which entry hosts a caller should use, and for how long."""
 
-import random
 from dataclasses import dataclass
 
 from .config import Config
 from .membership import HostInfo, Membership
 from .plan import bucket_of
+from .randomness import RandomSource
 from .rendezvous import ranked
 from .slew import EffectivePlan
 
@@ -40,7 +40,7 @@
     service: str,
     address: int | None,
     caller: str,
-    rng: random.Random,
+    rng: RandomSource,
     now: float,
 ) -> LookupAnswer | LookupRefusal:
     """Return the entry hosts for a caller.
--- a/lacewingcross/core/node.py
+++ b/lacewingcross/core/node.py
@@ -1,6 +1,5 @@
 """The core of a host: one place where every event goes in and actions come out."""
 
-import random
 from collections.abc import Iterator
 
 from . import messages as msg
@@ -30,6 +29,7 @@
 from .lookup import LookupAnswer, LookupRefusal, answer
 from .membership import LEAVING, HostInfo, Membership
 from .planning import PlannerSet
+from .randomness import RandomSource
 from .reports import Reporter
 from .requests import RequestTable
 from .resources import PLAN, split_key
@@ -53,7 +53,7 @@
         This host.
     incarnation : int
         Random 24-bit number of this run of the process.
-    rng : random.Random
+    rng : RandomSource
         Source for spreads and jitter.
     policy : KeeperPolicy, optional
         Admission settings.
@@ -83,7 +83,7 @@
         self,
         own: HostInfo,
         incarnation: int,
-        rng: random.Random,
+        rng: RandomSource,
         policy: KeeperPolicy | None = None,
     ) -> None:
         self.view = View(Membership(own), incarnation, rng)
--- a/lacewingcross/core/view.py
+++ b/lacewingcross/core/view.py
@@ -1,12 +1,12 @@
 """What all parts of a host's core share: configuration, members, plans in force."""
 
-import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from .config import Config
 from .membership import HostInfo, Membership
 from .neighbours import RELAYS, relays
+from .randomness import RandomSource
 from .rendezvous import owner
 from .resources import BackendPool, BackendServer
 from .slew import EffectivePlan
@@ -18,7 +18,7 @@
 
     members: Membership
     incarnation: int
-    rng: random.Random
+    rng: RandomSource
     config: Config = field(default_factory=Config)
     plans: dict[str, EffectivePlan] = field(default_factory=dict)
     signalled: set[str] = field(default_factory=set)
