Look-ups rank their hosts once for all variants of an answer

Cause: read in the whole change: preparing an answer asked the core eight times for the same hosts, only to vary the lifetime, and each time ranked every live host although four are given out. Change: the hosts are ranked once, those of other regions only when the home region has fewer than four; lifetimes are drawn apart. The same hosts in the same order come out.

--- a/lacewingcross/core/lookup.py
+++ b/lacewingcross/core/lookup.py
@@ -7,6 +7,7 @@
 from .plan import bucket_of
 from .randomness import RandomSource
 from .rendezvous import ranked
+from .resources import SteeringPolicy
 from .slew import EffectivePlan
 
 MAX_HOSTS = 4
@@ -61,12 +62,21 @@
     live = members.live(now)
     if not live:
         return LookupRefusal(503, "no-hosts", rng.uniform(0.5, 1.5))
-    home = [info for info in live if info.region == region]
-    rest = [info for info in live if info.region != region]
-    by_id = {info.host_id: info for info in live}
     key = f"{service}/{caller}"
-    ordered = ranked(key, [info.host_id for info in home])
-    ordered += ranked(key, [info.host_id for info in rest])
-    ttl = policy.lookup_ttl_s * rng.uniform(1.0 - JITTER, 1.0 + JITTER)
-    hosts = tuple(by_id[host_id] for host_id in ordered[:MAX_HOSTS])
+    home = members.live(now, region) if region else []
+    ordered = _ranked_hosts(key, home)
+    if len(ordered) < MAX_HOSTS:
+        ordered += _ranked_hosts(key, [info for info in live if info.region != region])
+    hosts = tuple(ordered[:MAX_HOSTS])
+    ttl = lifetime(policy, rng)
     return LookupAnswer(service, region or "", hosts, ttl, config.revision)
+
+
+def lifetime(policy: SteeringPolicy, rng: RandomSource) -> float:
+    """Return a jittered lifetime of a look-up's answer, in seconds."""
+    return policy.lookup_ttl_s * rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+
+
+def _ranked_hosts(key: str, hosts: list[HostInfo]) -> list[HostInfo]:
+    by_id = {info.host_id: info for info in hosts}
+    return [by_id[host_id] for host_id in ranked(key, by_id)]
--- a/lacewingcross/host/entry/lookups.py
+++ b/lacewingcross/host/entry/lookups.py
@@ -1,13 +1,14 @@
 """Look-ups over HTTP, with answers prepared and heads remembered."""
 
 import json
+from dataclasses import replace
 from urllib.parse import parse_qs
 
 import h11
 
 from ... import headers as hd
 from ...core.blocks import parse_address
-from ...core.lookup import LookupAnswer, LookupRefusal
+from ...core.lookup import LookupAnswer, LookupRefusal, lifetime
 from ...core.plan import bucket_of
 from ..runtime import Runtime
 
@@ -120,11 +121,15 @@
         return variants[self._turn]
 
     def _prepare(self, question: Question) -> list[bytes] | None:
+        found = self.find(question)
+        if isinstance(found, LookupRefusal):
+            return None
+        view = self._runtime.core.view
+        policy = view.config.policies[question.service]
         variants = []
         for _ in range(VARIANTS):
-            found = self.find(question)
-            if isinstance(found, LookupRefusal):
-                return None
+            # The hosts are the same in all variants; ranking them is the costly part.
+            found = replace(found, ttl_s=lifetime(policy, view.rng))
             body = json.dumps(answer_data(found), separators=(",", ":")).encode()
             head = (
                 b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
