One place for a caller's region, dialling, shared words; dead code out

Cause: the whole change read once more: the region of a caller was worked out in requests and again for explanations; buckets behind were summed in two places; links and greetings dialled alike; outcome words, the connection limit's code and the methods that may not be repeated stood two or three times; six constants, a slot and a field were read by nobody. Change: View.region_of, View.behind, Mesh.dial; the words come from where they are defined. Behaviour as before.

--- a/lacewingcross/caller.py
+++ b/lacewingcross/caller.py
@@ -11,11 +11,10 @@
 
 from . import headers as hd
 from .clock import Clock, SystemClock
+from .core.actions import ANSWERED, NOT_RUN, UNKNOWN
+from .core.resources import NON_REPEATABLE
 from .http1_client import ClientConnection, HttpClient, HttpError
 
-ANSWERED = "answered"
-NOT_RUN = "not-run"
-UNKNOWN = "unknown"
 LOOKUP_TIMEOUT_S = 2.0
 DEFAULT_DEADLINE_S = 10.0
 MAX_TRIES = 6
@@ -181,9 +180,7 @@
             body,
             headers or [],
             self._now() + deadline_s,
-            method.upper() not in ("POST", "PATCH")
-            if repeatable is None
-            else repeatable,
+            method.upper() not in NON_REPEATABLE if repeatable is None else repeatable,
             key,
             request_id or uuid.uuid4().hex,
         )
--- a/lacewingcross/cli/resources.py
+++ b/lacewingcross/cli/resources.py
@@ -22,7 +22,6 @@
 Output = Literal["table", "json"]
 PLATFORM_VARIABLE = "LACEWINGCROSS_PLATFORM"
 TLS_VARIABLE = "LACEWINGCROSS_TLS"
-DEFAULT_TIMEOUT_S = 30.0
 _KINDS = {kind.lower(): kind for kind in (*res.OPERATOR_KINDS, res.PLAN, REPORT_KIND)}
 
 
--- a/lacewingcross/core/estimate.py
+++ b/lacewingcross/core/estimate.py
@@ -5,7 +5,6 @@
 
 WINDOW = 256
 MEAN_GAIN = 0.05
-SOURCE = "Friebe et al., Nip it in the Bud: Job Acceptance Multi-Server, section V"
 
 
 class ServiceTimes:
--- a/lacewingcross/core/membership.py
+++ b/lacewingcross/core/membership.py
@@ -41,7 +41,6 @@
     behind: int = 0
     leaving: list[tuple[str, int]] = field(default_factory=list)
     loads: list[tuple[str, int, int, float]] = field(default_factory=list)
-    connected: bool = False
     broken: bool = False
     broken_at: float = float("-inf")
     drained: bool = False
@@ -163,7 +162,6 @@
             state.info = info
             state.said = LIVE
         state.incarnation = incarnation
-        state.connected = True
         state.last_heartbeat = now
         state.broken = False
 
@@ -183,7 +181,6 @@
         """Note that the last connection to a host broke or was refused."""
         state = self._states.get(host_id)
         if state is not None:
-            state.connected = False
             state.broken = True
             state.broken_at = now
             self._kept = None
--- a/lacewingcross/core/node.py
+++ b/lacewingcross/core/node.py
@@ -182,11 +182,10 @@
         due = view.members.due_beats(now, all_now=all_now)
         if not due:
             return
-        behind = sum(plan.behind() for plan in view.plans.values())
         beat = msg.Heartbeat(
             view.members.own_state,
             view.config.revision,
-            behind,
+            view.behind(),
             self.keepers.leaving(),
             self.keepers.loads(now),
         )
--- a/lacewingcross/core/reports.py
+++ b/lacewingcross/core/reports.py
@@ -5,7 +5,7 @@
 from .actions import Action, CreateObject, UpdateObject
 from .events import WriteEnded
 from .keeping import KeeperSet
-from .membership import DOWN, LIVE
+from .membership import DOWN
 from .requests import RequestTable
 from .view import View
 
@@ -113,7 +113,7 @@
             view.own.host_id: {
                 "state": view.members.own_state,
                 "revision": view.config.revision,
-                "behind": sum(plan.behind() for plan in view.plans.values()),
+                "behind": view.behind(),
             }
         }
         for state in view.members.others():
@@ -123,7 +123,7 @@
             if said != DOWN:
                 leaving += state.leaving
                 hosts[state.info.host_id] = {
-                    "state": said or LIVE,
+                    "state": said,
                     "revision": state.revision,
                     "behind": state.behind,
                 }
--- a/lacewingcross/core/requests.py
+++ b/lacewingcross/core/requests.py
@@ -20,7 +20,6 @@
 from .claims import CLAIMED, TAKEN, ClaimKeeper
 from .events import AttemptEnded, RequestArrived
 from .keyed import KeyClaims
-from .plan import bucket_of
 from .request_state import Held, Phase, RequestState
 from .resources import SteeringPolicy
 from .servers import ANSWERED, FAILED, SHED, UNREACHABLE, UNUSED
@@ -110,7 +109,7 @@
         if req.request_id in self.requests:
             yield from self._refuse_unlisted(req, 409, "duplicate-request-id")
             return
-        region = self._region(req)
+        region = view.region_of(req.service, req.address, req.caller)
         if region is None:
             yield from self._refuse_unlisted(req, 503, "no-plan")
             return
@@ -130,14 +129,6 @@
     def _come_back(self) -> float:
         return self._view.rng.uniform(*COME_BACK_S)
 
-    def _region(self, req: RequestArrived) -> str | None:
-        view = self._view
-        group = view.config.group_of(req.service, req.address)
-        plan = view.plans.get(req.service)
-        if plan is None or group is None:
-            return None
-        return plan.region(group, bucket_of(req.service, req.caller))
-
     def _open(
         self, req: RequestArrived, policy: SteeringPolicy, region: str, now: float
     ) -> RequestState:
--- a/lacewingcross/core/resources.py
+++ b/lacewingcross/core/resources.py
@@ -19,7 +19,7 @@
 PLAN = "Plan"
 OPERATOR_KINDS = (POLICY, CAP, POOL, DRAIN, BLOCKS)
 RESERVED_NAMES = ("v1",)
-ALL_CLIENTS = "*"
+NON_REPEATABLE = ("POST", "PATCH")
 DRAIN_TARGETS = ("server", "region", "failure_domain", "host")
 
 DEFAULT_DEADLINE_MS = 10_000
@@ -46,7 +46,7 @@
     failover: tuple[str, ...] = ()
     deadline_ms: int = DEFAULT_DEADLINE_MS
     lookup_ttl_s: float = DEFAULT_LOOKUP_TTL_S
-    non_repeatable: tuple[str, ...] = ("POST", "PATCH")
+    non_repeatable: tuple[str, ...] = NON_REPEATABLE
     keyed: bool = True
     block_table: str = ""
 
@@ -219,7 +219,7 @@
     names = [group.name for group in groups]
     if len(set(names)) != len(names):
         raise reader.fail("groups", "groups with different names", names)
-    methods = reader.names("non_repeatable_methods", ["POST", "PATCH"])
+    methods = reader.names("non_repeatable_methods", NON_REPEATABLE)
     return SteeringPolicy(
         service=name,
         groups=groups,
--- a/lacewingcross/core/servers.py
+++ b/lacewingcross/core/servers.py
@@ -7,7 +7,6 @@
 
 RAMP_S = 5.0
 FAILURES_TO_EJECT = 3
-FAILURE_RATE_TO_EJECT = 0.5
 FAILURE_GAIN = 0.1
 EJECT_S = 1.0
 EJECT_MAX_S = 30.0
--- a/lacewingcross/core/view.py
+++ b/lacewingcross/core/view.py
@@ -6,6 +6,7 @@
 from .config import Config
 from .membership import HostInfo, Membership
 from .neighbours import RELAYS, relays
+from .plan import bucket_of
 from .randomness import RandomSource
 from .rendezvous import owner
 from .resources import BackendPool, BackendServer
@@ -82,6 +83,18 @@
         chosen = relays(domain, [info.host_id for info in live])
         return self.own.host_id in chosen or len(chosen) < RELAYS
 
+    def behind(self) -> int:
+        """Return the buckets of all services that still differ from their plans."""
+        return sum(plan.behind() for plan in self.plans.values())
+
+    def region_of(self, service: str, address: int | None, caller: str) -> str | None:
+        """Return the region in force for a caller, or None without a plan."""
+        group = self.config.group_of(service, address)
+        plan = self.plans.get(service)
+        if plan is None or group is None:
+            return None
+        return plan.region(group, bucket_of(service, caller))
+
     def leaving_servers(self, service: str) -> set[str]:
         """Return servers that leave by drain, by the list or by their own word."""
         drained = self.config.leaving_servers(service)
--- a/lacewingcross/deployments.py
+++ b/lacewingcross/deployments.py
@@ -7,7 +7,6 @@
 from .settings import BackendSettings, HostSettings, KnownHost, PlatformSettings
 
 PORT_BASE = 20_000
-FIXED = "fixed"
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/host/backends/pool.py
+++ b/lacewingcross/host/backends/pool.py
@@ -9,6 +9,7 @@
 IDLE_S = 30.0
 FRESH_IDLE_S = 2.0
 DEFAULT_LIMIT = 30
+CONNECTION_LIMIT = "connection-limit"
 
 
 class BackendPool:
@@ -53,7 +54,7 @@
                 return conn
             self.drop(address, conn)
         if self._open[address] >= self.limits.get(address, DEFAULT_LIMIT):
-            raise HttpError("connection-limit", sent=False)
+            raise HttpError(CONNECTION_LIMIT, sent=False)
         self._open[address] += 1
         try:
             return await ClientConnection.open(address, self._ssl)
--- a/lacewingcross/host/entry/attempt.py
+++ b/lacewingcross/host/entry/attempt.py
@@ -4,17 +4,15 @@
 from dataclasses import dataclass
 
 from ... import headers as hd
-from ...core.actions import StartAttempt
+from ...core.actions import NOT_RUN, StartAttempt
 from ...core.attempts import Ending
 from ...core.events import AttemptEnded, FirstByteWritten, HeadForwarded
 from ...http1_client import ClientConnection, HttpError, ResponseHead
 from ...http1_exchange import CallerGoneError, Exchange
-from ..backends.pool import BackendPool
+from ..backends.pool import CONNECTION_LIMIT, BackendPool
 from ..runtime import Runtime
 
 REPLAY_MAX = 64 * 1024
-NOT_RUN = "not-run"
-CONNECTION_LIMIT = "connection-limit"
 
 
 @dataclass(slots=True)
--- a/lacewingcross/host/entry/flight.py
+++ b/lacewingcross/host/entry/flight.py
@@ -100,7 +100,6 @@
         "_run",
         "_runtime",
         "_task",
-        "aborted",
     )
 
     def __init__(
--- a/lacewingcross/host/mesh/links.py
+++ b/lacewingcross/host/mesh/links.py
@@ -60,14 +60,10 @@
         info = self._mesh.runtime.core.view.members.info(self.host_id)
         if info is None:
             return False
-        host, port = split_address(info.peer)
-        try:
-            async with asyncio.timeout(CONNECT_S):
-                reader, writer = await asyncio.open_connection(
-                    host, port, ssl=self._mesh.client_ssl
-                )
-        except (OSError, TimeoutError, ssl_module.SSLError):
+        stream = await self._mesh.dial(info.peer)
+        if stream is None:
             return False
+        reader, writer = stream
         try:
             writer.write(encode(self._mesh.hello()))
             await self._pump(reader, writer)
@@ -195,15 +191,22 @@
                 await asyncio.gather(*(self._greet(seed) for seed in self._seeds))
             await asyncio.sleep(SEEK_S)
 
-    async def _greet(self, seed: str) -> None:
-        host, port = split_address(seed)
+    async def dial(
+        self, address: str
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        """Connect to a host's peer address; None when that fails."""
+        host, port = split_address(address)
         try:
             async with asyncio.timeout(CONNECT_S):
-                _, writer = await asyncio.open_connection(
-                    host, port, ssl=self.client_ssl
-                )
+                return await asyncio.open_connection(host, port, ssl=self.client_ssl)
         except (OSError, TimeoutError, ssl_module.SSLError):
+            return None
+
+    async def _greet(self, seed: str) -> None:
+        stream = await self.dial(seed)
+        if stream is None:
             return
+        _, writer = stream
         try:
             writer.write(encode(self.hello()))
             await writer.drain()
--- a/lacewingcross/host/operators/listener.py
+++ b/lacewingcross/host/operators/listener.py
@@ -1,6 +1,7 @@
 """Health, metrics, status and explanations for operators over HTTP."""
 
 import asyncio
+from collections import Counter
 from urllib.parse import parse_qs
 
 from ...checks import split_address
@@ -67,7 +68,7 @@
         "rejected": view.config.rejected,
         "plans": {
             service: {
-                group: dict(sorted(_counts(table).items()))
+                group: dict(sorted(Counter(table).items()))
                 for group, table in plan.tables.items()
             }
             for service, plan in view.plans.items()
@@ -85,13 +86,6 @@
     }
 
 
-def _counts(table: list[str]) -> dict[str, int]:
-    counts: dict[str, int] = {}
-    for region in table:
-        counts[region] = counts.get(region, 0) + 1
-    return counts
-
-
 def _keeper_data(keeper, now: float) -> dict[str, object]:
     return {
         "service": keeper.service,
@@ -120,16 +114,14 @@
     service = params.get("service", "")
     text = params.get("address", "")
     caller = params.get("caller", "") or text
-    group = view.config.group_of(service, parse_address(text) if text else None)
-    bucket = bucket_of(service, caller)
-    plan = view.plans.get(service)
-    region = plan.region(group, bucket) if plan and group else None
+    address = parse_address(text) if text else None
+    region = view.region_of(service, address, caller)
     return {
         "service": service,
         "address": text,
         "caller": caller,
-        "group": group,
-        "bucket": bucket,
+        "group": view.config.group_of(service, address),
+        "bucket": bucket_of(service, caller),
         "region": region,
         "plan_version": view.config.plan_versions.get(service),
         "slot_keeper": view.keeper_of(service, region, now) if region else None,
