Tests of the gateway's parts; three faults that they found

Cause and change, each with the test that failed first: - a host that never knew an object could bring another one up to date without telling of its deletion (state machine of two replicas): updates from before the last listing are sent whole; - a server's first answer was taken for its average latency, so one slow answer passed it over: the average starts at the service's; - reads that left a dark server left no mark on it: it is left alone with doubling pauses.

--- a/lacewingcross/core/evidence.py
+++ b/lacewingcross/core/evidence.py
@@ -61,7 +61,7 @@
 
     def _learn_latency(self, latency_s: float, usual_s: float, now: float) -> None:
         if not self.latency_s:
-            self.latency_s = latency_s
+            self.latency_s = usual_s or latency_s
         self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
         if usual_s and self.latency_s > SLOW_TIMES * usual_s:
             self._pause(SLOW_PAUSE_S, SLOW, now)
@@ -78,10 +78,25 @@
         if not full:
             self._fade(True, now)
 
+    def timed_out(self, number: int, now: float) -> None:
+        """Note an attempt that was given up because nothing came back.
+
+        Failure: a server loses power with its connections open. Each request sent
+        there waits in vain, so it is left alone like one that cannot be reached. A
+        server that has answered others meanwhile is only busy.
+        """
+        quiet_since = self._pending.pop(number, now)
+        self._fade(True, now)
+        if now - quiet_since >= SILENT_MIN_S:
+            self._back_off("silent", now)
+
     def unreachable(self, number: int, now: float) -> None:
         """Note that no connection could be opened."""
         self._pending.pop(number, None)
-        self._pause(self._connect_pause_s, "unreachable", now)
+        self._back_off("unreachable", now)
+
+    def _back_off(self, why: str, now: float) -> None:
+        self._pause(self._connect_pause_s, why, now)
         self._connect_pause_s = min(CONNECT_PAUSE_MAX_S, self._connect_pause_s * 2)
 
     def forgotten(self, number: int) -> None:
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -206,13 +206,15 @@
 class StoreChanges:
     """Everything of one kind that changed in the store between two revisions.
 
-    Each document is its name, its revision and its JSON text, empty when deleted.
+    Each document is its name, its revision and its JSON text, empty when deleted. If
+    `whole`, the documents are all that exist.
     """
 
     kind: int
     since: int
     as_of: int
     documents: list[tuple[str, int, str]]
+    whole: bool
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/replica.py
+++ b/lacewingcross/core/replica.py
@@ -28,8 +28,25 @@
     spec: object
 
 
+@dataclass(slots=True, frozen=True)
+class Update:
+    """What brings a copy from revision `since` up to `as_of`.
+
+    `whole` tells that the documents are all that exist at `as_of`, so that whatever
+    is missing from them was deleted.
+    """
+
+    kind: Kind
+    since: int
+    as_of: int
+    documents: list[Document]
+    whole: bool = False
+
+
 @dataclass(slots=True)
 class _Copy:
+    # Revision of the last listing: deletions up to it may be unknown here.
+    listed_at: int = 0
     as_of: int = 0
     documents: dict[str, Document] = field(default_factory=dict)
 
@@ -55,31 +72,41 @@
         documents = self._copies[kind].documents.values()
         return [doc for doc in documents if doc.spec is not None]
 
-    def newer_than(self, kind: Kind, revision: int) -> list[Document]:
-        """Return what has changed since `revision`, deletions too."""
-        documents = self._copies[kind].documents.values()
-        if not revision:
-            return [doc for doc in documents if doc.spec is not None]
-        return [doc for doc in documents if doc.revision > revision]
+    def update_since(self, kind: Kind, revision: int) -> Update:
+        """Return what brings a host that is complete up to `revision` up to date.
 
-    def apply_changes(
-        self, kind: Kind, since: int, as_of: int, documents: Iterable[Document]
-    ) -> list[Document]:
-        """Take in all changes between two revisions; return those that were new.
+        Failure: a listing shows a deletion by absence only, and of an object that this
+        host never knew it shows nothing. A host that did know it would keep it for
+        good if it were sent changes only; it is sent everything instead.
+        """
+        copy = self._copies[kind]
+        if revision < copy.listed_at:
+            return Update(kind, 0, copy.as_of, self.known(kind), whole=True)
+        newer = [doc for doc in copy.documents.values() if doc.revision > revision]
+        return Update(kind, revision, copy.as_of, newer)
+
+    def apply(self, update: Update) -> list[Document]:
+        """Take in an update; return the documents that were new."""
+        if update.whole:
+            return self._apply_whole(update.kind, update.as_of, update.documents)
+        return self._apply_changes(update)
+
+    def _apply_changes(self, update: Update) -> list[Document]:
+        """Take in all changes between two revisions.
 
         The mark of completeness moves only when nothing between it and `since` can
         be missing: a host that lost one push must not count itself as up to date.
         """
-        copy = self._copies[kind]
-        fresh = [doc for doc in documents if self._put(copy, doc)]
-        if copy.as_of >= since:
-            copy.as_of = max(copy.as_of, as_of)
+        copy = self._copies[update.kind]
+        fresh = [doc for doc in update.documents if self._put(copy, doc)]
+        if copy.as_of >= update.since:
+            copy.as_of = max(copy.as_of, update.as_of)
         return fresh
 
-    def apply_listing(
+    def _apply_whole(
         self, kind: Kind, as_of: int, documents: Iterable[Document]
     ) -> list[Document]:
-        """Take in all documents that exist at a revision; return what was new.
+        """Take in all documents that exist at a revision.
 
         What is missing from the listing was deleted at some revision up to `as_of`,
         unless it was written later than that.
@@ -93,6 +120,7 @@
             if doc.name not in names and doc.spec is not None and doc.revision <= as_of
         ]
         fresh = [doc for doc in [*listed, *gone] if self._put(copy, doc)]
+        copy.listed_at = max(copy.listed_at, as_of)
         copy.as_of = max(copy.as_of, as_of)
         return fresh
 
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -1,12 +1,11 @@
 """What one entry host believes and decides, put together from the core's parts."""
 
 import random
-from collections.abc import Iterable
 from typing import Protocol
 
 from .attempts import RetryBudget
 from .placement import Placement, ServerEntry
-from .replica import Document, Kind, Replica
+from .replica import Document, Kind, Replica, Update
 from .routes import CallerLimits, Configuration, Route, RouteTable
 from .splits import Splitter
 
@@ -90,27 +89,11 @@
 
     # The store
 
-    def take_changes(
-        self,
-        kind: Kind,
-        since: int,
-        as_of: int,
-        documents: Iterable[Document],
-        now: float,
-    ) -> list[Document]:
-        """Take in changes from a watch or a peer; return what was new."""
-        fresh = self.replica.apply_changes(kind, since, as_of, documents)
-        if self.replica.as_of(kind) >= as_of:
-            self._confirm(kind, now)
-        self._apply(fresh, now)
-        return fresh
-
-    def take_listing(
-        self, kind: Kind, as_of: int, documents: Iterable[Document], now: float
-    ) -> list[Document]:
-        """Take in a whole listing; return what was new."""
-        fresh = self.replica.apply_listing(kind, as_of, documents)
-        self._confirm(kind, now)
+    def take(self, update: Update, now: float) -> list[Document]:
+        """Take in what the store or a peer says; return what was new."""
+        fresh = self.replica.apply(update)
+        if self.replica.as_of(update.kind) >= update.as_of:
+            self._confirm(update.kind, now)
         self._apply(fresh, now)
         return fresh
 
--- a/lacewingcross/gateway/following.py
+++ b/lacewingcross/gateway/following.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from .. import logs
-from ..core.replica import Document, Kind
+from ..core.replica import Document, Kind, Update
 from ..errors import PlatformError
 from ..platform.store import ObjectStore
 from .context import Gateway
@@ -25,7 +25,7 @@
 # The list of hosts is read again at this pace, for those whose hello was missed.
 HOSTS_EVERY_S = 10.0
 
-Publish = Callable[[Kind, int, int, list[Document]], None]
+Publish = Callable[[Update], None]
 
 
 class StoreFollower:
@@ -95,27 +95,25 @@
                     listed = self._gateway.steering.replica.as_of(kind) > 0
 
     async def _list(self, kind: Kind) -> None:
-        gateway = self._gateway
-        replica = gateway.steering.replica
-        since = replica.as_of(kind)
-        changes = await self._store.read_all(kind)
-        fresh = gateway.steering.take_listing(
-            kind, changes.as_of, changes.documents, gateway.now()
-        )
-        self._publish(kind, since, changes.as_of, replica.newer_than(kind, since))
-        log_changes(gateway, kind, changes.as_of, fresh, "listing")
+        known_before = self._gateway.steering.replica.as_of(kind) > 0
+        self._take(await self._store.read_all(kind), "listing", tell=known_before)
 
     async def _watch(self, kind: Kind) -> None:
+        since = self._gateway.steering.replica.as_of(kind)
+        update = await self._store.watch(kind, since, WATCH_WAIT_S)
+        self._take(update, "watch", tell=True)
+
+    def _take(self, update: Update, source: str, *, tell: bool) -> None:
+        """Take in an update and tell the other hosts all of it.
+
+        All, not only what is new here: a host that has less must not count itself as
+        up to date. What a host reads at its start the others have or ask for.
+        """
         gateway = self._gateway
-        since = gateway.steering.replica.as_of(kind)
-        changes = await self._store.watch(kind, since, WATCH_WAIT_S)
-        fresh = gateway.steering.take_changes(
-            kind, since, changes.as_of, changes.documents, gateway.now()
-        )
-        # All of it, not only what is new here: a host that has less must not count
-        # itself as up to date.
-        self._publish(kind, since, changes.as_of, changes.documents)
-        log_changes(gateway, kind, changes.as_of, fresh, "watch")
+        fresh = gateway.steering.take(update, gateway.now())
+        if tell:
+            self._publish(update)
+        log_changes(gateway, update, fresh, source)
 
     def _note_failure(self, kind: Kind, exc: PlatformError) -> None:
         self._gateway.metrics.count(f"store.{exc.code}")
@@ -137,19 +135,19 @@
 
 
 def log_changes(
-    gateway: Gateway, kind: Kind, as_of: int, fresh: list[Document], how: str
+    gateway: Gateway, update: Update, fresh: list[Document], source: str
 ) -> None:
     """Write one line for each change that this host now believes."""
     table = gateway.steering.table
     for doc in fresh:
         logs.event(
             "store-change",
-            kind=kind.name,
+            kind=update.kind.name,
             name=doc.name,
             revision=doc.revision,
             deleted=doc.spec is None,
-            as_of=as_of,
-            source=how,
+            as_of=update.as_of,
+            source=source,
             config=table.config.version if table else 0,
         )
 
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -8,7 +8,7 @@
 from ..checks import is_address, is_name, split_address
 from ..core import messages as msg
 from ..core.membership import HostInfo
-from ..core.replica import Document, Kind
+from ..core.replica import Document, Kind, Update
 from ..core.roster import ALIVE_EVERY_S
 from ..errors import FrameError
 from ..sockets import watch_silence
@@ -146,11 +146,9 @@
         alive = msg.Alive(gateway.roster.leaving, [])
         return [hello, alive, msg.Members(known), *pulls]
 
-    def publish(
-        self, kind: Kind, since: int, as_of: int, documents: list[Document]
-    ) -> None:
-        """Tell all hosts of changes in the store."""
-        frame = encode(_changes(kind, since, as_of, documents))
+    def publish(self, update: Update) -> None:
+        """Tell all hosts of an update from the store."""
+        frame = encode(_changes(update))
         for link in self._links.values():
             link.send_frame(frame)
 
@@ -313,22 +311,20 @@
             Document(kind, name, revision, json.loads(text) if text else None)
             for name, revision, text in message.documents
         ]
-        steering = self.gateway.steering
-        fresh = steering.take_changes(
-            kind, message.since, message.as_of, documents, now
+        update = Update(
+            kind, message.since, message.as_of, documents, whole=message.whole
         )
-        log_changes(self.gateway, kind, message.as_of, fresh, info.host_id)
+        steering = self.gateway.steering
+        fresh = steering.take(update, now)
+        log_changes(self.gateway, update, fresh, info.host_id)
         if steering.replica.as_of(kind) < message.since:
             self._send_to(info, msg.StorePull(kind, steering.replica.as_of(kind)))
 
     def _answer_pull(self, info: HostInfo, message: msg.StorePull) -> None:
         kind = Kind(message.kind)
         replica = self.gateway.steering.replica
-        if replica.as_of(kind) <= message.above:
-            return
-        documents = replica.newer_than(kind, message.above)
-        as_of = replica.as_of(kind)
-        self._send_to(info, _changes(kind, message.above, as_of, documents))
+        if replica.as_of(kind) > message.above:
+            self._send_to(info, _changes(replica.update_since(kind, message.above)))
 
     def _send_to(self, info: HostInfo, message: msg.Message) -> None:
         link = self._links.get(info.host_id)
@@ -338,14 +334,14 @@
         link.send(message)
 
 
-def _changes(
-    kind: Kind, since: int, as_of: int, documents: list[Document]
-) -> msg.StoreChanges:
+def _changes(update: Update) -> msg.StoreChanges:
     packed = [
         (doc.name, doc.revision, "" if doc.spec is None else json.dumps(doc.spec))
-        for doc in documents
+        for doc in update.documents
     ]
-    return msg.StoreChanges(int(kind), since, as_of, packed)
+    return msg.StoreChanges(
+        int(update.kind), update.since, update.as_of, packed, update.whole
+    )
 
 
 def _check_hello(hello: msg.Message) -> HostInfo:
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -411,6 +411,8 @@
             evidence.unreachable(number, now)
         elif ending is Ending.CONNECT_FAILED or self._gone:
             evidence.forgotten(number)
+        elif ending in (Ending.TIMED_OUT, Ending.CANCELLED):
+            evidence.timed_out(number, now)
         else:
             evidence.failed(number, now)
 
--- a/lacewingcross/http1_server.py
+++ b/lacewingcross/http1_server.py
@@ -95,6 +95,11 @@
         if self._by_client[client] <= 0:
             del self._by_client[client]
 
+    @property
+    def listening(self) -> bool:
+        """Tell whether new connections are accepted."""
+        return self._server is not None and not self.closing
+
     @property
     def connections(self) -> int:
         """Return the number of open connections."""
--- a/lacewingcross/platform/store.py
+++ b/lacewingcross/platform/store.py
@@ -5,11 +5,10 @@
 """
 
 import json
-from dataclasses import dataclass
 from urllib.parse import quote
 
 from ..core.membership import HostInfo
-from ..core.replica import Document, Kind
+from ..core.replica import Document, Kind, Update
 from ..errors import PlatformError
 from ..http1_client import HttpClient, HttpError, Response
 from .objects import CONFIG_NAME, HOSTS_PATH, KIND_PATHS
@@ -28,14 +27,6 @@
 }
 
 
-@dataclass(slots=True, frozen=True)
-class Changes:
-    """Documents and the store's revision that they bring a reader up to."""
-
-    as_of: int
-    documents: list[Document]
-
-
 class ObjectStore:
     """Calls of the store.
 
@@ -51,7 +42,7 @@
         self._http = HttpClient(address)
         self.calls = 0
 
-    async def read_all(self, kind: Kind) -> Changes:
+    async def read_all(self, kind: Kind) -> Update:
         """Return all documents of a kind, linearizable."""
         documents: list[Document] = []
         after = ""
@@ -59,10 +50,11 @@
             data = await self._get(KIND_PATHS[kind], after=after)
             documents += [_document(kind, item, False) for item in data["items"]]
             if not data.get("has_more"):
-                return Changes(int(data["as_of"]), _relevant(kind, documents))
+                found = _relevant(kind, documents)
+                return Update(kind, 0, int(data["as_of"]), found, whole=True)
             after = documents[-1].name
 
-    async def watch(self, kind: Kind, revision: int, wait_s: float) -> Changes:
+    async def watch(self, kind: Kind, revision: int, wait_s: float) -> Update:
         """Wait for changes of a kind after a revision; none when there were none.
 
         Raises
@@ -80,7 +72,8 @@
             _document(kind, event["object"], bool(event["deleted"]))
             for event in data["events"]
         ]
-        return Changes(int(data["as_of"]), _relevant(kind, documents))
+        found = _relevant(kind, documents)
+        return Update(kind, revision, int(data["as_of"]), found)
 
     async def hosts(self) -> list[HostInfo]:
         """Return the entry hosts that have named themselves."""
--- /dev/null
+++ b/lacewingcross/standins/object_store.py
@@ -0,0 +1,229 @@
+"""Stand-in for the users' platform store: objects by kind and name, watches, faults."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs
+
+from ..http1_exchange import Exchange
+from ..http1_json import read_body, send_json
+from ..http1_server import HttpServer
+
+PREFIX = "/v1/objects/"
+PAGE = 500
+MAX_BODY = 1 << 20
+
+
+@dataclass(slots=True)
+class StoredObject:
+    """One object and when it was last changed."""
+
+    name: str
+    revision: int
+    create_revision: int
+    spec: object
+    status: object = None
+    deleted: bool = False
+
+    def as_data(self) -> dict:
+        """Return the object as the store spells it."""
+        return {
+            "metadata": {
+                "name": self.name,
+                "revision": self.revision,
+                "create_revision": self.create_revision,
+                "finalizers": [],
+                "deleting": False,
+            },
+            "spec": self.spec,
+            "status": self.status,
+        }
+
+
+@dataclass(slots=True)
+class Faults:
+    """What the store does wrong, for all callers.
+
+    `down` is ``busy`` (503), ``many`` (429), ``reset``, ``silent`` or empty;
+    `lost_writes` are done and not answered.
+    """
+
+    down: str = ""
+    slow_s: float = 0.0
+    lost_writes: bool = False
+
+
+@dataclass(slots=True)
+class ObjectStoreStandin:
+    """A store in memory, served on loopback.
+
+    Parameters
+    ----------
+    now : callable
+        Monotonic clock in seconds.
+    page : int
+        Objects in one answer to a list call.
+    """
+
+    now: Callable[[], float]
+    page: int = PAGE
+    revision: int = 0
+    faults: Faults = field(default_factory=Faults)
+    calls: int = 0
+    _objects: dict[str, dict[str, StoredObject]] = field(default_factory=dict)
+    _compacted: int = 0
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: HttpServer | None = None
+
+    async def start(self) -> int:
+        """Listen on a free port of 127.0.0.1; return it."""
+        self._server = HttpServer(self._handle, self.now)
+        return await self._server.start("127.0.0.1", 0)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    # What operators and backend servers write
+
+    def put(self, kind: str, name: str, spec: object) -> int:
+        """Create or replace an object; return its revision."""
+        known = self._objects.setdefault(kind, {}).get(name)
+        if known is not None and not known.deleted and known.spec == spec:
+            return known.revision
+        self.revision += 1
+        live = known is not None and not known.deleted
+        created = known.create_revision if live else self.revision
+        self._objects[kind][name] = StoredObject(name, self.revision, created, spec)
+        self._wake()
+        return self.revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        known = self._objects.get(kind, {}).get(name)
+        if known is None or known.deleted:
+            return
+        self.revision += 1
+        known.revision = self.revision
+        known.deleted = True
+        self._wake()
+
+    def compact(self) -> None:
+        """Forget the history; watches from before it get 410."""
+        self._compacted = self.revision
+        for objects in self._objects.values():
+            for name in [name for name, obj in objects.items() if obj.deleted]:
+                del objects[name]
+        self._wake()
+
+    def names(self, kind: str) -> list[str]:
+        """Return the names of the objects of a kind."""
+        objects = self._objects.get(kind, {}).values()
+        return sorted(obj.name for obj in objects if not obj.deleted)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    # Calls
+
+    async def _handle(self, exchange: Exchange) -> None:
+        self.calls += 1
+        body = await read_body(exchange, MAX_BODY)
+        if self.faults.slow_s:
+            await asyncio.sleep(self.faults.slow_s)
+        if await self._failed(exchange):
+            return
+        path, _, query = exchange.head.target.partition("?")
+        kind, _, name = path.removeprefix(PREFIX).partition("/")
+        fields = {key: values[0] for key, values in parse_qs(query).items()}
+        method = exchange.head.method
+        if method == "GET" and "watch" in fields:
+            await self._watch(exchange, kind, fields)
+        elif method == "GET" and not name:
+            await self._list(exchange, kind, fields)
+        elif method == "GET":
+            await self._get(exchange, kind, name)
+        else:
+            await self._write(exchange, method, kind, name, json.loads(body or b"{}"))
+
+    async def _failed(self, exchange: Exchange) -> bool:
+        down = self.faults.down
+        if down == "silent":
+            await asyncio.Event().wait()
+        if down == "reset":
+            exchange.abort()
+        if down in ("busy", "many"):
+            status = 503 if down == "busy" else 429
+            await send_json(exchange, status, {"error": down})
+        return bool(down)
+
+    async def _list(self, exchange: Exchange, kind: str, fields: dict) -> None:
+        after = fields.get("after", "")
+        found = [name for name in self.names(kind) if name > after]
+        items = [self._objects[kind][name].as_data() for name in found[: self.page]]
+        data = {
+            "items": items,
+            "has_more": len(found) > self.page,
+            "as_of": self.revision,
+        }
+        await send_json(exchange, 200, data)
+
+    async def _watch(self, exchange: Exchange, kind: str, fields: dict) -> None:
+        since = int(fields["watch"])
+        ends = self.now() + int(fields.get("wait_ms", 0)) / 1000.0
+        while True:
+            if since < self._compacted:
+                await send_json(exchange, 410, {"error": "history-gone"})
+                return
+            changed = self._changed
+            objects = self._objects.get(kind, {}).values()
+            newer = [obj for obj in objects if obj.revision > since]
+            left = ends - self.now()
+            if newer or left <= 0:
+                break
+            try:
+                async with asyncio.timeout(left):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+        newer.sort(key=lambda obj: obj.revision)
+        events = [{"object": obj.as_data(), "deleted": obj.deleted} for obj in newer]
+        await send_json(exchange, 200, {"events": events, "as_of": self.revision})
+
+    async def _get(self, exchange: Exchange, kind: str, name: str) -> None:
+        known = self._objects.get(kind, {}).get(name)
+        if known is None or known.deleted:
+            await send_json(exchange, 404, {"error": "not-found"})
+            return
+        await send_json(exchange, 200, known.as_data())
+
+    async def _write(
+        self, exchange: Exchange, method: str, kind: str, name: str, body: dict
+    ) -> None:
+        meta = body.get("metadata") or {}
+        name = name or meta.get("name", "")
+        known = self._objects.get(kind, {}).get(name)
+        live = known is not None and not known.deleted
+        expected = meta.get("revision")
+        if (
+            method == "POST"
+            and live
+            or expected
+            and live
+            and (expected != known.revision)
+        ):
+            await send_json(exchange, 409, known.as_data())
+            return
+        if method != "POST" and not live:
+            await send_json(exchange, 404, {"error": "not-found"})
+            return
+        if method == "DELETE":
+            self.delete(kind, name)
+        else:
+            self.put(kind, name, body.get("spec"))
+        if self.faults.lost_writes:
+            exchange.abort()
+            return
+        await send_json(exchange, 200, self._objects[kind][name].as_data())
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,371 @@
+"""The gateway as callers, backend servers and operators see it."""
+
+import asyncio
+import functools
+import json
+
+import pytest
+
+from tests.gateway_parts import (
+    answer,
+    answers_at_once,
+    ask,
+    fleet,
+    free_address,
+    resolve,
+    until,
+)
+
+
+def in_loop(test):
+    """Run a coroutine test to its end, within a bound."""
+
+    @functools.wraps(test)
+    def run(*args, **kwargs):
+        async def bounded():
+            async with asyncio.timeout(30):
+                await test(*args, **kwargs)
+
+        asyncio.run(bounded())
+
+    return run
+
+
+def header(response, name):
+    values = [value for key, value in response.headers if key.lower() == name.encode()]
+    return values[0].decode() if values else ""
+
+
+@in_loop
+async def test_a_request_goes_through_unchanged():
+    async with fleet() as made:
+        made.configure()
+        server = await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        got = await ask(app, "/safe/a?b=c", "r9")
+        assert (got.status, got.body) == (200, b"/safe/a?b=c")
+        assert header(got, "x-lacewingcross-response-signature") == "s1"
+        assert header(got, "x-lacewingcross-request-id") == "r9"
+        seen = server.requests[0]
+        assert seen.headers["x-lacewingcross-expected-instance"] == "i-1"
+        assert 1000 < int(seen.headers["x-lacewingcross-request-deadline"]) <= 2000
+
+
+@in_loop
+async def test_a_posted_body_goes_through_whole():
+    async with fleet() as made:
+        made.configure()
+        server = await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        body = bytes(range(256)) * 1000
+        got = await ask(app, "/unsafe/a", method="POST", body=body)
+        assert got.status == 200
+        assert server.requests[0].body == body
+
+
+@in_loop
+async def test_no_route_is_404_and_no_configuration_is_503():
+    async with fleet() as made:
+        app = await made.add_host()
+        await until(lambda: app.entry.server.listening)
+        got = await ask(app, "/safe/a")
+        assert got.status == 503
+        assert float(header(got, "retry-after")) > 0
+        made.configure()
+        await until(lambda: app.gateway.steering.table is not None)
+        assert (await ask(app, "/other/")).status == 404
+
+
+@in_loop
+async def test_a_booking_that_may_have_run_is_not_called_refused():
+    # A server takes a booking and its connection breaks. "Not run" would make the
+    # caller book again, and the family pays twice.
+    async def breaks(received, writer):
+        return False
+
+    async with fleet() as made:
+        made.configure()
+        server = await made.add_server(breaks)
+        app = await made.ready(await made.add_host())
+        got = await ask(app, "/unsafe/a", method="POST", body=b"x")
+        assert got.status == 502
+        assert len(server.requests) == 1
+
+
+@in_loop
+async def test_a_read_that_breaks_is_tried_at_another_server():
+    async def breaks(received, writer):
+        return False
+
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(breaks)
+        good = await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        await until(lambda: len(app.gateway.steering.placement.servers) == 2)
+        for number in range(6):
+            got = await ask(app, "/safe/a", f"r{number}", key=str(number))
+            assert got.status == 200
+        assert len(good.requests) == 6
+
+
+@in_loop
+async def test_a_booking_that_the_server_did_not_run_is_tried_elsewhere_or_refused():
+    async def sheds(received, writer):
+        extra = b"X-Lacewingcross-Not-Executed: 1\r\n"
+        writer.write(answer(received.request_id, status=503, extra=extra))
+
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(sheds)
+        app = await made.ready(await made.add_host())
+        got = await ask(app, "/unsafe/a", method="POST", body=b"x")
+        assert got.status == 503
+        assert float(header(got, "retry-after")) > 0
+        assert not header(got, "x-lacewingcross-response-signature")
+        good = await made.add_server(answers_at_once)
+        await until(lambda: len(app.gateway.steering.placement.servers) == 2)
+        got = await ask(app, "/unsafe/a", "r2", method="POST", body=b"x")
+        assert got.status == 200
+        assert len(good.requests) == 1
+
+
+@in_loop
+async def test_a_success_without_signature_is_not_passed_on():
+    # Another process has taken the server's address, or the answer was garbled on its
+    # way: whatever it says, it is not the server's answer.
+    async def unsigned(received, writer):
+        data = answer(received.request_id)
+        writer.write(data.replace(b"X-Lacewingcross-Response-Signature: s1\r\n", b""))
+
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(unsigned)
+        app = await made.ready(await made.add_host())
+        assert (await ask(app, "/unsafe/a", method="POST", body=b"x")).status == 502
+
+
+@in_loop
+async def test_the_operators_time_limit_ends_in_504():
+    async def hangs(received, writer):
+        await asyncio.sleep(20)
+
+    async with fleet() as made:
+        made.configure(timeout_s=0.3)
+        server = await made.add_server(hangs)
+        app = await made.ready(await made.add_host())
+        got = await ask(app, "/unsafe/a", method="POST", body=b"x")
+        assert got.status == 504
+        await until(lambda: server.cut == 1)
+
+
+@in_loop
+async def test_a_read_leaves_a_server_that_has_gone_dark():
+    async def hangs(received, writer):
+        await asyncio.sleep(20)
+
+    async with fleet() as made:
+        made.configure()
+        dark = await made.add_server(hangs)
+        await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        await until(lambda: len(app.gateway.steering.placement.servers) == 2)
+        statuses = [
+            (await ask(app, "/safe/a", f"r{number}", key=str(number))).status
+            for number in range(8)
+        ]
+        assert statuses == [200] * 8
+        assert len(dark.requests) <= 2
+
+
+@in_loop
+async def test_a_read_is_stopped_when_its_caller_leaves():
+    # Callers give up and ask again; servers that go on working for those who left
+    # have no slots for those who are there.
+    async def hangs(received, writer):
+        await asyncio.sleep(20)
+
+    async with fleet() as made:
+        made.configure()
+        server = await made.add_server(hangs)
+        app = await made.ready(await made.add_host())
+        asking = asyncio.ensure_future(ask(app, "/safe/a"))
+        await until(lambda: len(server.requests) == 1)
+        asking.cancel()
+        await until(lambda: server.cut == 1)
+        (only,) = app.gateway.steering.placement.servers.values()
+        await until(lambda: only.own == 0)
+
+
+@in_loop
+async def test_a_configuration_change_is_in_force_at_every_host():
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(answers_at_once)
+        apps = [await made.add_host(domain=domain) for domain in ("a1", "a2", "b1")]
+        for app in apps:
+            await made.ready(app)
+        made.configure(version=4, path_prefix="/moved/")
+        for app in apps:
+            await until(lambda app=app: app.gateway.steering.table.config.version == 4)
+            assert (await ask(app, "/moved/x")).status == 200
+            assert (await ask(app, "/safe/x")).status == 404
+
+
+@in_loop
+@pytest.mark.parametrize("fault", ["busy", "many", "reset", "silent"])
+async def test_a_host_that_the_store_turns_away_follows_through_its_peers(fault):
+    # The store serves some hosts and turns this one away. It must not serve an old
+    # configuration, nor send to servers that have left.
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(answers_at_once)
+        near = await made.ready(await made.add_host())
+        broken = type(made.store)(made.store.now)
+        broken.faults.down = fault
+        port = await broken.start()
+        deaf = await made.add_host(
+            domain="a2",
+            platform=f"127.0.0.1:{port}",
+            seeds=[near.gateway.cfg.peer],
+        )
+        await made.ready(deaf)
+        made.configure(version=9)
+        await until(lambda: deaf.gateway.steering.table.config.version == 9)
+        made.store.delete("servers", "i-1")
+        await until(lambda: not deaf.gateway.steering.placement.servers)
+        await broken.close()
+
+
+@in_loop
+async def test_servers_whose_entries_lapsed_in_an_outage_are_kept_for_their_return():
+    # The store is away for longer than entries live. At its return all of them are
+    # missing for a moment; dropping them would refuse every request.
+    async with fleet() as made:
+        made.configure()
+        server = await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        made.store.faults.down = "reset"
+        await until(lambda: app.gateway.steering.store_age(app.gateway.now()) > 2.2)
+        made.store.delete("servers", "i-1")
+        made.store.faults.down = ""
+        await until(lambda: app.gateway.steering.store_age(app.gateway.now()) < 1.0)
+        assert (await ask(app, "/safe/a")).status == 200
+        made.register("i-1", server.address)
+        await asyncio.sleep(2.5)
+        assert (await ask(app, "/safe/a", "r2")).status == 200
+        assert "i-1" in app.gateway.steering.placement.servers
+
+
+@in_loop
+async def test_a_server_that_left_while_the_history_was_dropped_is_noticed():
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(answers_at_once)
+        await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        servers = app.gateway.steering.placement.servers
+        await until(lambda: len(servers) == 2)
+        made.store.delete("servers", "i-2")
+        made.store.compact()
+        await until(lambda: set(servers) == {"i-1"})
+
+
+@in_loop
+async def test_an_evacuated_failure_domain_gets_no_more_requests():
+    async with fleet() as made:
+        made.configure()
+        left = await made.add_server(answers_at_once, domain="a1")
+        await made.add_server(answers_at_once, domain="a2")
+        app = await made.ready(await made.add_host())
+        await until(lambda: len(app.gateway.steering.placement.servers) == 2)
+        made.store.put("evacuations", "a1", {})
+        steering = app.gateway.steering
+        await until(lambda: len(steering.replica.update_since(2, 0).documents) == 1)
+        before = len(left.requests)
+        for number in range(10):
+            got = await ask(app, "/safe/a", f"r{number}", key=str(number))
+            assert got.status == 200
+        assert len(left.requests) == before
+
+
+@in_loop
+async def test_callers_are_told_of_live_hosts_only():
+    async with fleet() as made:
+        made.configure()
+        apps = [await made.add_host(domain=domain) for domain in ("a1", "a2", "b1")]
+        first = apps[0]
+        entries = first.gateway.roster.entries
+        await until(
+            lambda: (
+                len(entries) == 2
+                and all(entry.live(first.gateway.now()) for entry in entries.values())
+            )
+        )
+        got = json.loads((await resolve(first)).body)
+        assert set(got["addresses"]) == {app.gateway.cfg.entry for app in apps[:2]}
+        made.tasks[1].cancel()
+        await until(lambda: len(first.gateway.roster.live(first.gateway.now())) == 2)
+        got = json.loads((await resolve(first)).body)
+        assert got["addresses"] == [first.gateway.cfg.entry]
+
+
+@in_loop
+async def test_a_leaving_host_finishes_what_it_has_begun():
+    # A planned stop comes while an upload is at its server. The caller gets its
+    # answer, the other hosts stop naming this one, and its name is taken away.
+    release = asyncio.Event()
+
+    async def waits(received, writer):
+        await release.wait()
+        writer.write(answer(received.request_id, b"done"))
+
+    async with fleet() as made:
+        made.configure()
+        server = await made.add_server(waits)
+        leaving = await made.ready(await made.add_host())
+        other = await made.ready(await made.add_host(domain="a2"))
+        entries = other.gateway.roster.entries
+        await until(lambda: "host-0" in entries and entries["host-0"].heard_at > 0)
+        asking = asyncio.ensure_future(
+            ask(leaving, "/unsafe/a", method="POST", body=b"x")
+        )
+        await until(lambda: len(server.requests) == 1)
+        made.stops[0].set()
+        await until(lambda: entries["host-0"].leaving)
+        assert leaving.gateway.cfg.entry.encode() not in (await resolve(other)).body
+        release.set()
+        got = await asking
+        assert (got.status, got.body) == (200, b"done")
+        late = await ask(leaving, "/unsafe/b", "r2", method="POST", body=b"x")
+        assert late.status == 200
+        assert header(late, "connection") == "close"
+        await made.tasks[0]
+        assert made.store.names("entry-hosts") == ["host-1"]
+
+
+@in_loop
+async def test_a_host_finds_the_others_through_a_seed_while_the_store_is_away():
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(answers_at_once)
+        near = await made.ready(await made.add_host())
+        made.store.faults.down = "reset"
+        nowhere = free_address()
+        late = await made.add_host(
+            domain="a2", platform=nowhere, seeds=[near.gateway.cfg.peer]
+        )
+        await made.ready(late)
+        assert (await ask(late, "/safe/a")).status == 200
+
+
+@in_loop
+async def test_without_servers_callers_are_refused_at_once():
+    async with fleet() as made:
+        made.configure()
+        app = await made.add_host()
+        await until(lambda: app.gateway.steering.table is not None)
+        await until(lambda: app.entry.server.listening)
+        got = await ask(app, "/safe/a")
+        assert got.status == 503
+        assert json.loads(got.body)["error"] == "no-server"
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,167 @@
+"""Choice of backend server: one home for a key, refusal before spreading."""
+
+import random
+
+from lacewingcross.core.placement import (
+    Ask,
+    Choice,
+    Placement,
+    Refusal,
+    ServerEntry,
+)
+from lacewingcross.core.routes import Service
+
+REGION_OF = {"a1": "a", "a2": "a", "b1": "b"}
+NOW = 100.0
+
+
+def entry(server_id, domain, slots=2, cold_left_s=0.0, *, draining=False):
+    address = f"127.0.0.1:{9000 + hash(server_id) % 100}"
+    return ServerEntry(
+        server_id, "calendar", address, domain, slots, draining, cold_left_s
+    )
+
+
+def placement(*entries, region="a"):
+    placed = Placement(region, REGION_OF, random.Random(1), 1.5, 5.0)
+    placed.set_services({"calendar": Service("calendar", "/health", 100, 3.0, 14.0)})
+    for item in entries:
+        placed.put_server(item, NOW)
+    return placed
+
+
+def ask(key="7", *, regions=(), urgent=False, tried=()):
+    return Ask("calendar", key, frozenset(regions), urgent, frozenset(tried))
+
+
+def fill(server, count):
+    for number in range(count):
+        server.evidence.sent(number, NOW)
+        server.own += 1
+
+
+def chosen(placed, now=NOW, **kwargs):
+    choice = placed.choose(ask(**kwargs), now)
+    assert isinstance(choice, Choice), choice
+    return choice.server.entry
+
+
+def six():
+    return [entry(f"a{i}", "a1" if i % 2 else "a2") for i in range(4)] + [
+        entry("b0", "b1"),
+        entry("b1", "b1"),
+    ]
+
+
+def test_a_key_keeps_its_server_while_there_is_room():
+    placed = placement(*six())
+    assert len({chosen(placed).server_id for _ in range(20)}) == 1
+    assert len({chosen(placed, key=str(i)).server_id for i in range(50)}) == 4
+
+
+def test_a_key_whose_server_is_full_goes_to_its_one_server_elsewhere():
+    # Every caller wakes on the hour. Spread over all servers of the region the key
+    # would be cold on each of them, and cold work takes three times the slots.
+    placed = placement(*six())
+    home = placed.servers[chosen(placed).server_id]
+    fill(home, 2)
+    assert chosen(placed).failure_domain == "b1"
+    fill(placed.servers[chosen(placed).server_id], 2)
+    refusal = placed.choose(ask(), NOW)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == "full"
+    assert 0 < refusal.retry_after_s < 1
+
+
+def test_what_peers_have_in_flight_fills_a_server_too():
+    placed = placement(*six())
+    home = chosen(placed).server_id
+    placed.set_peer_counts("host-2", {home: 2})
+    assert chosen(placed).server_id != home
+    placed.set_peer_counts("host-2", {})
+    assert chosen(placed).server_id == home
+
+
+def test_a_load_report_counts_for_a_moment_only():
+    placed = placement(*six())
+    home = placed.servers[chosen(placed).server_id]
+    placed.learn_load(home, 2, NOW)
+    assert chosen(placed).server_id != home.entry.server_id
+    assert chosen(placed, now=NOW + 0.2).server_id == home.entry.server_id
+
+
+def test_urgent_requests_may_wait_for_a_slot():
+    placed = placement(*six())
+    home = placed.servers[chosen(placed).server_id]
+    fill(home, 2)
+    assert chosen(placed, urgent=True).server_id == home.entry.server_id
+
+
+def test_draining_gone_and_tried_servers_are_not_chosen():
+    placed = placement(*six())
+    first = chosen(placed).server_id
+    assert chosen(placed, tried=[first]).server_id != first
+    placed.put_server(
+        entry(first, placed.servers[first].entry.failure_domain, draining=True), NOW
+    )
+    second = chosen(placed).server_id
+    assert second != first
+    placed.drop_server(second)
+    assert chosen(placed).server_id not in (first, second)
+
+
+def test_an_evacuated_failure_domain_gets_nothing():
+    placed = placement(*six())
+    placed.set_evacuated(["a1", "a2"], NOW)
+    assert {chosen(placed, key=str(i)).failure_domain for i in range(30)} == {"b1"}
+    placed.set_evacuated(["a1", "a2", "b1"], NOW)
+    assert isinstance(placed.choose(ask(), NOW), Refusal)
+
+
+def test_a_failure_domain_that_is_taken_back_is_cold():
+    # An evacuation ends and the domain's keys all return at once. Its servers have
+    # stood idle; nothing in their entries says that they are cold.
+    placed = placement(*six())
+    placed.region_hosts = 1
+    placed.set_evacuated(["a1", "a2"], NOW)
+    placed.set_evacuated([], NOW)
+    sent = {}
+    for number in range(300):
+        server = placed.choose(ask(key=str(number)), NOW).server
+        placed.began(server, number, NOW)
+        placed.ended(server)
+        server.evidence.forgotten(number)
+        sent[server.entry.server_id] = sent.get(server.entry.server_id, 0) + 1
+    assert all(sent[name] <= 26 for name in ("a0", "a1", "a2", "a3"))
+
+
+def test_cold_servers_of_another_region_get_nothing():
+    placed = placement(*[entry("b0", "b1", cold_left_s=3.0)])
+    assert isinstance(placed.choose(ask(), NOW), Refusal)
+    assert chosen(placed, now=NOW + 3.1).server_id == "b0"
+
+
+def test_requests_bound_to_regions_stay_there():
+    placed = placement(*six())
+    assert chosen(placed, regions=["b"]).failure_domain == "b1"
+    only_a = placement(*[entry("a0", "a1")])
+    assert isinstance(only_a.choose(ask(regions=["b"]), NOW), Refusal)
+
+
+def test_failing_servers_are_used_when_no_other_is_left():
+    # All servers of a service shed half of what they get. Passing all of them over
+    # would refuse every request; using them answers half.
+    placed = placement(*six())
+    for server in placed.servers.values():
+        for number in range(20):
+            server.evidence.sent(number, NOW)
+            server.evidence.failed(number, NOW)
+    assert chosen(placed)
+
+
+def test_without_a_key_the_least_loaded_server_is_chosen():
+    placed = placement(*six())
+    fill(placed.servers["a0"], 1)
+    fill(placed.servers["a1"], 1)
+    fill(placed.servers["a2"], 1)
+    assert chosen(placed, key="").server_id == "a3"
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,139 @@
+"""The copy of the store: forward only, and honest about what it may lack."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lacewingcross.core.replica import Document, Kind, Replica, Update
+
+
+def server(name, revision, spec="here"):
+    return Document(Kind.SERVER, name, revision, spec)
+
+
+def changes(since, as_of, *documents):
+    return Update(Kind.SERVER, since, as_of, list(documents))
+
+
+def listing(as_of, *documents):
+    return Update(Kind.SERVER, 0, as_of, list(documents), whole=True)
+
+
+def test_an_older_version_told_late_does_not_come_back():
+    # A host hears of version 9 from one peer, then version 7 from a slower one.
+    # Taking it would put an old configuration back in force.
+    replica = Replica()
+    replica.apply(changes(0, 9, server("a", 9, "new")))
+    assert replica.apply(changes(0, 7, server("a", 7, "old"))) == []
+    assert [doc.spec for doc in replica.known(Kind.SERVER)] == ["new"]
+
+
+def test_a_lost_push_is_not_counted_as_seen():
+    # The push of revisions 5 to 8 is lost with a stream; the one of 8 to 10 arrives.
+    # A host that took itself for complete at 10 would send to a server that left at 6.
+    replica = Replica()
+    replica.apply(listing(5, server("a", 3)))
+    replica.apply(changes(8, 10, server("b", 10)))
+    assert replica.as_of(Kind.SERVER) == 5
+    replica.apply(changes(5, 10, server("a", 6, None), server("b", 10)))
+    assert replica.as_of(Kind.SERVER) == 10
+    assert [doc.name for doc in replica.known(Kind.SERVER)] == ["b"]
+
+
+def test_a_listing_shows_deletions_by_absence_only():
+    # The store drops its history while a server leaves; no event says so.
+    replica = Replica()
+    replica.apply(listing(5, server("a", 3), server("b", 4)))
+    fresh = replica.apply(listing(9, server("b", 4)))
+    assert [(doc.name, doc.spec) for doc in fresh] == [("a", None)]
+
+
+def test_a_listing_does_not_delete_what_was_written_after_it():
+    replica = Replica()
+    replica.apply(changes(0, 12, server("late", 12)))
+    replica.apply(
+        listing(
+            10,
+        )
+    )
+    assert [doc.name for doc in replica.known(Kind.SERVER)] == ["late"]
+
+
+def test_a_host_that_never_knew_an_object_cannot_leave_it_with_another():
+    # Host A knows server "a". It leaves; host B starts and lists the store, where there
+    # is nothing to see of "a". B brings A up to date: with changes alone A would send
+    # requests to "a" for good. (Found by the state machine below.)
+    told, teller = Replica(), Replica()
+    told.apply(listing(1, server("a", 1)))
+    teller.apply(listing(2))
+    told.apply(teller.update_since(Kind.SERVER, told.as_of(Kind.SERVER)))
+    assert told.as_of(Kind.SERVER) == 2
+    assert told.known(Kind.SERVER) == []
+
+
+class TwoHosts(RuleBasedStateMachine):
+    """A store's history, told to two replicas in pieces, some of them lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.history = [{}]
+        self.replicas = [Replica(), Replica()]
+
+    @property
+    def revision(self):
+        return len(self.history) - 1
+
+    @rule(name=st.sampled_from("abc"), exists=st.booleans())
+    def change(self, name, exists):
+        state = dict(self.history[-1])
+        state[name] = (self.revision + 1, "here" if exists else None)
+        self.history.append(state)
+
+    def _changes(self, since, as_of):
+        state = self.history[as_of]
+        return [
+            server(name, revision, spec)
+            for name, (revision, spec) in state.items()
+            if revision > since
+        ]
+
+    @precondition(lambda self: self.revision > 0)
+    @rule(who=st.integers(0, 1), data=st.data())
+    def push(self, who, data):
+        since = data.draw(st.integers(0, self.revision))
+        as_of = data.draw(st.integers(since, self.revision))
+        self.replicas[who].apply(changes(since, as_of, *self._changes(since, as_of)))
+
+    @precondition(lambda self: self.revision > 0)
+    @rule(who=st.integers(0, 1), data=st.data())
+    def read_all(self, who, data):
+        as_of = data.draw(st.integers(1, self.revision))
+        listed = [doc for doc in self._changes(0, as_of) if doc.spec is not None]
+        self.replicas[who].apply(listing(as_of, *listed))
+
+    @rule(teller=st.integers(0, 1))
+    def pull(self, teller):
+        source, target = self.replicas[teller], self.replicas[1 - teller]
+        above, as_of = target.as_of(Kind.SERVER), source.as_of(Kind.SERVER)
+        if as_of > above:
+            target.apply(source.update_since(Kind.SERVER, above))
+
+    @invariant()
+    def complete_up_to_its_mark(self):
+        for replica in self.replicas:
+            truth = self.history[replica.as_of(Kind.SERVER)]
+            known = {doc.name: doc.revision for doc in replica.known(Kind.SERVER)}
+            for name, (revision, spec) in truth.items():
+                if spec is not None:
+                    latest = self.history[-1][name]
+                    assert known.get(name, revision + 1) >= revision
+                    if latest[0] == revision:
+                        assert known.get(name) == revision
+                else:
+                    assert known.get(name, revision + 1) > revision
+
+
+TestTwoHosts = TwoHosts.TestCase
+TestTwoHosts.settings = settings(
+    max_examples=150, stateful_step_count=25, deadline=None, derandomize=True
+)
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,78 @@
+"""Which hosts live, who watches the store, whom callers are told to use."""
+
+from lacewingcross.core.membership import HostInfo
+from lacewingcross.core.roster import Roster
+
+
+def host(number, region="a"):
+    return HostInfo(
+        f"host-{number}", region, f"{region}1", f"10.0.0.{number}:1", "10.0.0.1:2"
+    )
+
+
+def roster(*others):
+    made = Roster(host(0))
+    for info in others:
+        made.heard(info, 1, 0.0, leaving=False)
+    return made
+
+
+def test_callers_are_sent_to_live_hosts_of_their_region():
+    made = roster(host(1), host(2, "b"))
+    assert made.addresses_for("a", frozenset(), 1.0) == ["10.0.0.0:1", "10.0.0.1:1"]
+    assert made.addresses_for("b", frozenset(), 1.0) == ["10.0.0.2:1"]
+
+
+def test_a_silent_host_is_named_no_longer():
+    # A host loses power. Callers sent to it wait a second each before they try another.
+    made = roster(host(1))
+    assert made.addresses_for("a", frozenset(), 2.5) == ["10.0.0.0:1"]
+
+
+def test_a_leaving_host_is_named_no_longer():
+    made = roster(host(1))
+    made.heard(host(1), 1, 1.0, leaving=True)
+    assert made.addresses_for("a", frozenset(), 1.0) == ["10.0.0.0:1"]
+    made.leaving = True
+    made.heard(host(1), 1, 1.0, leaving=False)
+    assert made.addresses_for("a", frozenset(), 1.0) == ["10.0.0.1:1"]
+
+
+def test_bound_requests_are_sent_to_their_homes_when_the_region_has_no_host():
+    made = roster(host(1, "b"), host(2, "c"))
+    assert made.addresses_for("d", frozenset(["c"]), 1.0) == ["10.0.0.2:1"]
+    assert len(made.addresses_for("d", frozenset(), 1.0)) == 3
+
+
+def test_the_answer_is_never_empty():
+    made = roster()
+    made.leaving = True
+    assert made.addresses_for("z", frozenset(["y"]), 1.0) == ["10.0.0.0:1"]
+
+
+def test_exactly_one_live_host_of_a_region_ranks_first():
+    infos = [host(number) for number in range(5)]
+    ranks = []
+    for own in infos:
+        made = Roster(own)
+        for other in infos:
+            if other is not own:
+                made.heard(other, 1, 0.0, leaving=False)
+        ranks.append(made.rank(1.0))
+    assert sorted(ranks) == [0, 1, 2, 3, 4]
+    alone = Roster(infos[0])
+    assert alone.rank(1.0) == 0
+
+
+def test_what_the_store_says_does_not_replace_what_a_live_host_says_itself():
+    made = roster(host(1))
+    stale = HostInfo("host-1", "a", "a1", "10.9.9.9:1", "10.9.9.9:2")
+    assert not made.learn(stale, 1.0)
+    assert made.learn(stale, 5.0)
+
+
+def test_a_host_that_is_long_silent_is_forgotten():
+    made = roster(host(1))
+    assert made.forget_silent(30.0) == []
+    assert made.forget_silent(61.0) == ["host-1"]
+    assert made.region_size("a") == 1
