--- a/lacewingcross/core/evidence.py
+++ b/lacewingcross/core/evidence.py
@@ -15,8 +15,7 @@
 # cold server (twice the work) and a cold key (about three times) must not count.
 SLOW_TIMES = 5.0
 SLOW_PAUSE_S = 2.0
-# Without any answer for this many times the usual latency a server counts as silent.
-SILENT_TIMES = 4.0
+# Shortest silence that counts against a server, in seconds.
 SILENT_MIN_S = 0.35
 FAILING = "failing"
 SLOW = "slow"
@@ -114,14 +113,13 @@
         self._trial_after = True
         self.why = why
 
-    def silent(self, now: float, usual_s: float) -> bool:
-        """Tell whether the server has been silent for too long."""
+    def silent(self, now: float, patience_s: float) -> bool:
+        """Tell whether the server has answered nobody for longer than `patience_s`."""
         if not self._pending:
             return False
-        patience = max(SILENT_MIN_S, SILENT_TIMES * usual_s)
-        return now - min(self._pending.values()) > patience
+        return now - min(self._pending.values()) > patience_s
 
-    def usable(self, now: float, usual_s: float, *, desperate: bool = False) -> bool:
+    def usable(self, now: float, patience_s: float, *, desperate: bool = False) -> bool:
         """Tell whether the server may be sent a request.
 
         After a pause one request goes first; the others follow when it is answered.
@@ -129,10 +127,10 @@
         used after all (`desperate`): most of what they get is answered.
         """
         if desperate and self.why in (FAILING, SLOW):
-            return not self.silent(now, usual_s)
+            return not self.silent(now, patience_s)
         if now < self._paused_until:
             return False
-        if self.silent(now, usual_s):
+        if self.silent(now, patience_s):
             self.why = "silent"
             return False
         return not (self._trial_after and self._pending)
--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass, field
 
 from .cold import ColdShare, share_of
-from .evidence import Evidence
+from .estimate import ServiceTimes
+from .evidence import SILENT_MIN_S, Evidence
 from .rendezvous import ranked
 from .routes import Service
 
@@ -19,8 +20,15 @@
 REPORT_S = 0.15
 # Latency assumed of a service before any answer, in seconds.
 FIRST_LATENCY_S = 0.2
-# Weight of the newest latency in a service's average.
-LATENCY_WEIGHT = 0.05
+# A server is silent when nobody has had an answer from it for longer than this part of
+# the service's recent answers took, and somewhat more. With the average in its place
+# (four times) a server at its first, cold work passed for dark: a day's reads were cut
+# off and sent again 87 times, each time to another cold server.
+PATIENCE_PART = 0.98
+PATIENCE_TIMES = 1.3
+PATIENCE_FIRST_S = 0.9
+# Answers from which on the service's own figures count.
+PATIENCE_ANSWERS = 50
 # Pauses for refused callers are spread by this much around the expected wait, so that
 # those who were refused together do not return together.
 SPREAD = 0.5
@@ -140,7 +148,7 @@
         self._cold_slack = cold_slack
         self._by_service: dict[str, list[Server]] = {}
         self._evacuated: frozenset[str] = frozenset()
-        self._latency: dict[str, float] = {}
+        self._latency: dict[str, ServiceTimes] = {}
         self._rankings: dict[tuple[str, str, str], list[str]] = {}
         self._services: dict[str, Service] = {}
         self.region_hosts = 1
@@ -258,8 +266,8 @@
         entry = server.entry
         if entry.server_id in ask.tried or entry.failure_domain in self._evacuated:
             return False
-        usual = self.usual_latency(entry.service)
-        if not server.evidence.usable(now, usual, desperate=desperate):
+        patience = self.patience(entry.service)
+        if not server.evidence.usable(now, patience, desperate=desperate):
             return False
         return now >= server.cold_until or self._cold_room(server, now)
 
@@ -278,7 +286,15 @@
 
     def usual_latency(self, service: str) -> float:
         """Return the average latency of a service's answers, in seconds."""
-        return self._latency.get(service, FIRST_LATENCY_S)
+        times = self._latency.get(service)
+        return times.mean_s if times else FIRST_LATENCY_S
+
+    def patience(self, service: str) -> float:
+        """Return for how long a server of the service may be silent, in seconds."""
+        times = self._latency.get(service)
+        if times is None or len(times) < PATIENCE_ANSWERS:
+            return PATIENCE_FIRST_S
+        return max(SILENT_MIN_S, PATIENCE_TIMES * times.quantile(PATIENCE_PART))
 
     def _pause(self, service: str) -> float:
         wait = self.usual_latency(service)
@@ -299,8 +315,11 @@
 
     def learn_latency(self, service: str, latency_s: float) -> None:
         """Take an answer's latency into the service's average."""
-        usual = self.usual_latency(service)
-        self._latency[service] = usual + LATENCY_WEIGHT * (latency_s - usual)
+        times = self._latency.get(service)
+        if times is None:
+            times = ServiceTimes(FIRST_LATENCY_S)
+            self._latency[service] = times
+        times.add(latency_s)
 
     def learn_load(self, server: Server, load: int, now: float) -> None:
         """Take over a server's own report of what runs and waits there."""
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -30,11 +30,6 @@
 # A caller stops waiting at its deadline; answers leave this much earlier, in seconds,
 # to arrive in time (one way to callers is a few milliseconds).
 ANSWER_EARLY_S = 0.01
-# A repeatable request leaves a silent server after this many times the usual latency,
-# at least the second figure in seconds, if another server can take it. Slower answers
-# than that are rare enough that moving costs less than waiting.
-PATIENCE_TIMES = 4.0
-PATIENCE_MIN_S = 0.35
 # Least time that is worth another attempt, in seconds.
 MIN_LEFT_S = 0.03
 JSON_TYPE = (b"content-type", b"application/json")
@@ -337,9 +332,7 @@
         """Wait for the answer's head, and leave a silent server if another can help."""
         if not self._route.repeatable:
             return await run.read_head(request_id)
-        placement = self._gateway.steering.placement
-        usual = placement.usual_latency(self._service)
-        patience = max(PATIENCE_MIN_S, PATIENCE_TIMES * usual)
+        patience = self._gateway.steering.placement.patience(self._service)
         while True:
             try:
                 async with asyncio.timeout(patience):
@@ -438,6 +431,21 @@
         if ending is Ending.SERVER_ERROR:
             self._last = f"server-{answer.head.status}"
             verdict = self._retry_failure(verdict)
+        if verdict is not Verdict.DONE or self._attempts > 1:
+            self._log_ending(attempt, ending, answer, verdict)
+        if verdict is Verdict.DONE:
+            await self._deliver(run, answer)
+        elif answer is not None and not answer.whole:
+            run.let_go(whole=False)
+        return verdict
+
+    def _log_ending(
+        self,
+        attempt: Attempt,
+        ending: Ending,
+        answer: Answer | None,
+        verdict: Verdict,
+    ) -> None:
         logs.event(
             "attempt-ended",
             id=self._frame.request_id,
@@ -449,11 +457,6 @@
             verdict=verdict.value,
             left_ms=int(1000 * self._left()),
         )
-        if verdict is Verdict.DONE:
-            await self._deliver(run, answer)
-        elif answer is not None and not answer.whole:
-            run.let_go(whole=False)
-        return verdict
 
     def _retry_failure(self, verdict: Verdict) -> Verdict:
         """Try a server's own failure once more where the request may be repeated."""
