Hosts that start together share cold servers; unreadable objects are passed over

Cause, found by reading: before the list of hosts was read a host took itself for the only one of its region and would send a cold server all of its share; one object that could not be read kept the rest of an update from taking effect; each region's watcher tells each change and all copies were decoded. Change: eight hosts are reckoned with until the list was read; unreadable objects are logged and counted; known documents are not decoded again.

--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -14,6 +14,7 @@
 from .estimate import ServiceTimes
 from .evidence import SILENT_MIN_S, Evidence
 from .rendezvous import HASH_RANGE, hash64, ranked
+from .roster import HOSTS_UNLISTED
 from .routes import Service
 from .shift import ShareGuard
 
@@ -171,7 +172,7 @@
         self._services: dict[str, Service] = {}
         self._lost_at = float("-inf")
         self.guard = ShareGuard()
-        self.region_hosts = 1
+        self.region_hosts = HOSTS_UNLISTED
         self.rtt_s: dict[str, float] = {}
         self.servers: dict[str, Server] = {}
 
--- a/lacewingcross/core/replica.py
+++ b/lacewingcross/core/replica.py
@@ -72,6 +72,15 @@
         documents = self._copies[kind].documents.values()
         return [doc for doc in documents if doc.spec is not None]
 
+    def has(self, kind: Kind, name: str, revision: int) -> bool:
+        """Tell whether an object is known at a revision or a later one."""
+        known = self._copies[kind].documents.get(name)
+        return known is not None and known.revision >= revision
+
+    def get(self, kind: Kind, name: str) -> Document:
+        """Return a known document."""
+        return self._copies[kind].documents[name]
+
     def update_since(self, kind: Kind, revision: int) -> Update:
         """Return what brings a host that is complete up to `revision` up to date.
 
--- a/lacewingcross/core/roster.py
+++ b/lacewingcross/core/roster.py
@@ -18,6 +18,9 @@
 # A host that has been silent for so long is no longer dialled, in seconds. A host that
 # comes back names itself again.
 FORGET_AFTER_S = 60.0
+# Hosts of a region that are reckoned with before the list of hosts was read: the most
+# that either user has in a region today, and half as many again.
+HOSTS_UNLISTED = 8
 
 
 @dataclass(slots=True)
@@ -48,11 +51,12 @@
         This host.
     """
 
-    __slots__ = ("entries", "leaving", "own")
+    __slots__ = ("entries", "leaving", "listed", "own")
 
     def __init__(self, own: HostInfo) -> None:
         self.own = own
         self.leaving = False
+        self.listed = False
         self.entries: dict[str, Entry] = {}
 
     def learn(self, info: HostInfo, now: float) -> bool:
@@ -97,9 +101,15 @@
         return [self.own, *others]
 
     def region_size(self, region: str) -> int:
-        """Return how many hosts of a region are known, living or not."""
+        """Return how many hosts of a region there are, living or not.
+
+        Failure: all hosts are killed together and start again. Each knows only itself
+        at first and would take the whole region's share of the requests that a cold
+        server bears. Until the list of hosts was read there may be many.
+        """
         others = (entry.info.region for entry in self.entries.values())
-        return sum(known == region for known in (self.own.region, *others))
+        known = sum(name == region for name in (self.own.region, *others))
+        return known if self.listed else max(known, HOSTS_UNLISTED)
 
     def rank(self, now: float) -> int:
         """Return this host's place among the live hosts of its region, 0 first."""
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -1,8 +1,10 @@
 """What one entry host believes and decides, put together from the core's parts."""
 
 import random
+from dataclasses import dataclass
 from typing import Protocol
 
+from ..errors import UserError
 from .attempts import RetryBudget
 from .placement import Placement, ServerEntry
 from .replica import Document, Kind, Replica, Update
@@ -20,6 +22,15 @@
 RETRY_MARGIN = 0.75
 
 
+@dataclass(slots=True, frozen=True)
+class Rejected:
+    """A stored object that could not be read, and why."""
+
+    document: Document
+    code: str
+    why: str
+
+
 class Decoder(Protocol):
     """Turns stored objects into the core's types; raises an error with a code."""
 
@@ -59,6 +70,7 @@
         "_splitters",
         "hosts",
         "placement",
+        "rejected",
         "replica",
         "rng",
         "table",
@@ -86,6 +98,7 @@
         self._least_urgent: dict[str, int] = {}
         self._confirmed_at: dict[Kind, float] = {}
         self._outage_ended_at = float("-inf")
+        self.rejected: list[Rejected] = []
 
     # The store
 
@@ -111,14 +124,22 @@
 
     def _apply(self, fresh: list[Document], now: float) -> None:
         for doc in fresh:
-            if doc.kind is Kind.CONFIG and doc.spec is not None:
-                self._take_configuration(self._decoder.configuration(doc.spec))
-            elif doc.kind is Kind.SERVER:
-                self._take_server(doc, now)
+            try:
+                self._apply_one(doc, now)
+            except UserError as exc:
+                # One object that cannot be read must not keep the others from taking
+                # effect; what was in force for it stays.
+                self.rejected.append(Rejected(doc, exc.code, exc.message))
         if any(doc.kind is Kind.EVACUATION for doc in fresh):
             domains = [doc.name for doc in self.replica.known(Kind.EVACUATION)]
             self.placement.set_evacuated(domains, now)
 
+    def _apply_one(self, doc: Document, now: float) -> None:
+        if doc.kind is Kind.CONFIG and doc.spec is not None:
+            self._take_configuration(self._decoder.configuration(doc.spec))
+        elif doc.kind is Kind.SERVER:
+            self._take_server(doc, now)
+
     def _take_configuration(self, config: Configuration) -> None:
         if self.table is not None and self.table.config.version > config.version:
             return
--- a/lacewingcross/gateway/following.py
+++ b/lacewingcross/gateway/following.py
@@ -137,8 +137,20 @@
 def log_changes(
     gateway: Gateway, update: Update, fresh: list[Document], source: str
 ) -> None:
-    """Write one line for each change that this host now believes."""
-    table = gateway.steering.table
+    """Write one line for each change that this host now believes, or cannot read."""
+    steering = gateway.steering
+    while steering.rejected:
+        rejected = steering.rejected.pop()
+        gateway.metrics.count(f"store.rejected-{rejected.code}")
+        logs.event(
+            "store-object-rejected",
+            "ERROR",
+            kind=rejected.document.kind.name,
+            name=rejected.document.name,
+            revision=rejected.document.revision,
+            why=rejected.why,
+        )
+    table = steering.table
     for doc in fresh:
         logs.event(
             "store-change",
@@ -195,6 +207,7 @@
         for info in await self._store.hosts():
             if self._gateway.roster.learn(info, now):
                 logs.event("host-learnt", host_id=info.host_id, peer=info.peer)
+        self._gateway.roster.listed = True
 
     async def leave(self) -> None:
         """Take this host's name away."""
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -312,10 +312,7 @@
         self, info: HostInfo, message: msg.StoreChanges, now: float
     ) -> None:
         kind = Kind(message.kind)
-        documents = [
-            Document(kind, name, revision, json.loads(text) if text else None)
-            for name, revision, text in message.documents
-        ]
+        documents = [self._document(kind, *fields) for fields in message.documents]
         update = Update(
             kind, message.since, message.as_of, documents, whole=message.whole
         )
@@ -325,6 +322,17 @@
         if steering.replica.as_of(kind) < message.since:
             self._send_to(info, msg.StorePull(kind, steering.replica.as_of(kind)))
 
+    def _document(self, kind: Kind, name: str, revision: int, text: str) -> Document:
+        """Return a document that a peer told, decoded only when it is news.
+
+        Every region's watcher tells every change, so most of what arrives is known;
+        decoding a configuration of 350 routes takes milliseconds each time.
+        """
+        replica = self.gateway.steering.replica
+        if text and replica.has(kind, name, revision):
+            return replica.get(kind, name)
+        return Document(kind, name, revision, json.loads(text) if text else None)
+
     def _answer_pull(self, info: HostInfo, message: msg.StorePull) -> None:
         kind = Kind(message.kind)
         replica = self.gateway.steering.replica
--- a/lacewingcross/logs.py
+++ b/lacewingcross/logs.py
@@ -100,7 +100,7 @@
                 return
             except OSError:
                 # Nobody reads any more, and there is nowhere left to say so.
-                self.dropped += len(self._lines)
+                self.dropped += len(self._lines) + self._rest.count(b"\n")
                 self._lines.clear()
                 self._rest = b""
                 return
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,34 @@
+"""Output that is never waited for."""
+
+import os
+
+from lacewingcross.logs import BoundedOutput
+
+
+def test_a_reader_that_stops_costs_lines_not_time():
+    # Whoever reads our output stops reading. A write that waited would stop the whole
+    # process, and with it every request.
+    reading, writing = os.pipe()
+    output = BoundedOutput(writing, most_lines=100)
+    line = "x" * 1000 + "\n"
+    for _ in range(1000):
+        output.write(line)
+    assert output.dropped > 0
+    text = b""
+    for _ in range(100):
+        text += os.read(reading, 1 << 20)
+        output.flush()
+        if not output.dropped and b"log-lines-dropped" in text:
+            break
+    assert b"event=log-lines-dropped lines=" in text
+    os.close(reading)
+    os.close(writing)
+
+
+def test_a_reader_that_is_gone_does_no_harm():
+    reading, writing = os.pipe()
+    output = BoundedOutput(writing)
+    os.close(reading)
+    output.write("line\n")
+    assert output.dropped == 1
+    os.close(writing)
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,171 @@
+"""The client of the platform's store, against a stand-in of its protocol."""
+
+import asyncio
+import time
+
+import pytest
+
+from lacewingcross.core.membership import HostInfo
+from lacewingcross.core.replica import Kind
+from lacewingcross.errors import PlatformError
+from lacewingcross.platform.objects import decode_configuration, decode_server
+from lacewingcross.platform.store import ObjectStore
+from lacewingcross.standins.object_store import ObjectStoreStandin
+from tests.gateway_parts import Fleet
+
+HOST = HostInfo("host-1", "a", "a1", "10.0.0.1:1", "10.0.0.1:2")
+SERVER = {"service": "s", "address": "10.0.0.9:1", "zone": "a1", "slots": 4}
+
+
+def with_store(check, **options):
+    async def run():
+        standin = ObjectStoreStandin(time.monotonic, **options)
+        port = await standin.start()
+        client = ObjectStore(f"127.0.0.1:{port}")
+        try:
+            async with asyncio.timeout(20):
+                await check(standin, client)
+        finally:
+            client.close()
+            await standin.close()
+
+    asyncio.run(run())
+
+
+def test_all_pages_of_a_listing_are_read():
+    async def check(standin, client):
+        for number in range(7):
+            standin.put("servers", f"i-{number}", SERVER)
+        update = await client.read_all(Kind.SERVER)
+        assert [doc.name for doc in update.documents] == [f"i-{i}" for i in range(7)]
+        assert (update.whole, update.as_of) == (True, 7)
+
+    with_store(check, page=3)
+
+
+def test_a_watch_returns_changes_and_deletions_as_they_come():
+    async def check(standin, client):
+        standin.put("servers", "i-1", SERVER)
+        watching = asyncio.ensure_future(client.watch(Kind.SERVER, 1, 5.0))
+        await asyncio.sleep(0.05)
+        standin.delete("servers", "i-1")
+        update = await watching
+        assert [(doc.name, doc.spec) for doc in update.documents] == [("i-1", None)]
+        assert (update.since, update.as_of) == (1, 2)
+
+    with_store(check)
+
+
+def test_a_watch_without_changes_ends_by_itself():
+    async def check(standin, client):
+        update = await client.watch(Kind.EVACUATION, 0, 0.05)
+        assert update.documents == []
+
+    with_store(check)
+
+
+def test_a_watch_from_before_the_kept_history_is_told_so():
+    async def check(standin, client):
+        standin.put("servers", "i-1", SERVER)
+        standin.compact()
+        with pytest.raises(PlatformError) as caught:
+            await client.watch(Kind.SERVER, 0, 1.0)
+        assert caught.value.code == "compacted"
+
+    with_store(check)
+
+
+def test_only_the_main_configuration_counts():
+    async def check(standin, client):
+        standin.put("config", "main", {"version": "r1"})
+        standin.put("config", "draft", {"version": "r9"})
+        update = await client.read_all(Kind.CONFIG)
+        assert [doc.name for doc in update.documents] == ["main"]
+
+    with_store(check)
+
+
+def test_a_host_names_itself_again_after_a_crash():
+    async def check(standin, client):
+        await client.put_host(HOST)
+        moved = HostInfo("host-1", "a", "a1", "10.0.0.2:1", "10.0.0.2:2")
+        await client.put_host(moved)
+        assert await client.hosts() == [moved]
+        await client.delete_host("host-1")
+        await client.delete_host("host-1")
+        assert await client.hosts() == []
+
+    with_store(check)
+
+
+@pytest.mark.parametrize(
+    ("down", "code"),
+    [("busy", "unavailable"), ("many", "too-many-calls"), ("reset", "unavailable")],
+)
+def test_an_outage_has_a_code(down, code):
+    async def check(standin, client):
+        standin.faults.down = down
+        with pytest.raises(PlatformError) as caught:
+            await client.read_all(Kind.SERVER)
+        assert caught.value.code == code
+
+    with_store(check)
+
+
+def test_a_write_without_an_answer_is_not_called_refused():
+    # The store does the write and the answer is lost. Taken for a failure it would be
+    # written twice, or never be deleted.
+    async def check(standin, client):
+        standin.faults.lost_writes = True
+        with pytest.raises(PlatformError) as caught:
+            await client.put_host(HOST)
+        assert caught.value.code == "unknown-outcome"
+        assert standin.names("entry-hosts") == ["host-1"]
+
+    with_store(check)
+
+
+def test_a_silent_store_is_given_up_in_time():
+    async def check(standin, client):
+        standin.faults.down = "silent"
+        started = time.monotonic()
+        with pytest.raises(PlatformError):
+            await client.read_all(Kind.SERVER)
+        assert time.monotonic() - started < 5.0
+
+    with_store(check)
+
+
+def test_a_configuration_is_decoded_into_our_types():
+    standin = ObjectStoreStandin(time.monotonic)
+    made = Fleet(standin, "")
+    made.configure(
+        version=12,
+        traffic_split=[{"service": "a", "weight": 9}, {"service": "b", "weight": 1}],
+    )
+    spec = standin._objects["config"]["main"].spec
+    config = decode_configuration(spec)
+    route = next(route for route in config.routes if route.name == "safe")
+    assert config.version == 12
+    assert [(part.service, part.weight) for part in route.parts] == [
+        ("a", 9.0),
+        ("b", 1.0),
+    ]
+    assert config.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [None, {}, {"version": "r1"}, {"version": 3, "routes": {}, "services": {}}, []],
+)
+def test_a_configuration_that_cannot_be_read_has_a_code(spec):
+    with pytest.raises(PlatformError) as caught:
+        decode_configuration(spec)
+    assert caught.value.code == "bad-object"
+
+
+@pytest.mark.parametrize("spec", [None, {}, {"service": "s", "slots": "x"}, 7])
+def test_a_server_entry_that_cannot_be_read_has_a_code(spec):
+    with pytest.raises(PlatformError) as caught:
+        decode_server("i-1", spec)
+    assert caught.value.code == "bad-object"
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -75,4 +75,15 @@
     made = roster(host(1))
     assert made.forget_silent(30.0) == []
     assert made.forget_silent(61.0) == ["host-1"]
+    made.listed = True
     assert made.region_size("a") == 1
+
+
+def test_a_host_that_knows_nobody_yet_does_not_take_the_whole_regions_share():
+    # All hosts are killed together while servers come back cold. Each one that starts
+    # knows itself only; five of them with a whole share each break the servers again.
+    made = roster()
+    assert made.region_size("a") >= 5
+    made.heard(host(1), 1, 0.0, leaving=False)
+    made.listed = True
+    assert made.region_size("a") == 2
--- /dev/null
+++ b/tests/test_steering.py
@@ -0,0 +1,106 @@
+"""What a host believes of the store, and what it keeps through outages."""
+
+import random
+
+import pytest
+
+from lacewingcross.core.placement import Placement
+from lacewingcross.core.replica import Document, Kind, Update
+from lacewingcross.core.steering import LAPSE_GRACE_S, OUTAGE_S, Steering
+from lacewingcross.platform.objects import ObjectDecoder
+
+ENTRY = {
+    "service": "calendar",
+    "address": "10.0.0.1:80",
+    "zone": "a1",
+    "slots": 4,
+    "state": "ready",
+    "cold_left_s": 0,
+}
+
+
+def steering(hosts=1):
+    rng = random.Random(1)
+    placement = Placement("a", {"a1": "a"}, rng, 1.5, 5.0)
+    made = Steering(placement, ObjectDecoder(), rng, 0.2, 64.0)
+    made.hosts = hosts
+    return made
+
+
+def told(made, revision, spec, now, *, name="i-1", kind=Kind.SERVER):
+    since = made.replica.as_of(kind)
+    doc = Document(kind, name, revision, spec)
+    made.take(Update(kind, since, revision, [doc]), now)
+
+
+def quiet(made, now, kind=Kind.SERVER):
+    as_of = made.replica.as_of(kind)
+    made.take(Update(kind, as_of, as_of, []), now)
+
+
+def test_a_server_that_leaves_is_dropped_at_once():
+    made = steering()
+    told(made, 1, ENTRY, 0.0)
+    told(made, 2, None, 0.5)
+    assert not made.placement.servers
+
+
+def test_entries_that_lapsed_in_an_outage_are_kept_for_two_seconds():
+    # The store was away for longer than entries live. At its return all entries are
+    # gone; the servers, which live, register again within two seconds.
+    made = steering()
+    told(made, 1, ENTRY, 0.0)
+    back = OUTAGE_S + 3.0
+    told(made, 2, None, back)
+    assert "i-1" in made.placement.servers
+    told(made, 3, ENTRY, back + 1.0)
+    made.tick(back + LAPSE_GRACE_S + 0.1)
+    assert "i-1" in made.placement.servers
+
+
+def test_entries_that_do_not_come_back_are_gone():
+    made = steering()
+    told(made, 1, ENTRY, 0.0)
+    back = OUTAGE_S + 3.0
+    told(made, 2, None, back)
+    assert made.tick(back + LAPSE_GRACE_S - 0.1) == []
+    assert made.tick(back + LAPSE_GRACE_S + 0.1) == ["i-1"]
+    assert not made.placement.servers
+
+
+def test_a_server_that_leaves_long_after_an_outage_is_dropped_at_once():
+    made = steering()
+    told(made, 1, ENTRY, 0.0)
+    quiet(made, 10.0)
+    for second in range(11, 16):
+        quiet(made, float(second))
+    told(made, 2, None, 16.0)
+    assert not made.placement.servers
+
+
+def test_one_unreadable_object_does_not_hold_up_the_others():
+    made = steering()
+    docs = [
+        Document(Kind.SERVER, "bad", 1, {"service": 1}),
+        Document(Kind.SERVER, "good", 2, ENTRY),
+    ]
+    made.take(Update(Kind.SERVER, 0, 2, docs), 0.0)
+    assert set(made.placement.servers) == {"good"}
+    assert [item.document.name for item in made.rejected] == ["bad"]
+
+
+@pytest.mark.parametrize("hosts", [1, 12, 68])
+def test_retries_of_all_hosts_stay_within_the_shared_allowance(hosts):
+    # Every server of a service sheds. Each host retries what its allowance permits;
+    # together they must stay under a fifth of the requests and the common extra.
+    made = [steering(hosts) for _ in range(hosts)]
+    requests = retries = 0
+    for host in made:
+        for _ in range(3000 // hosts):
+            budget = host.budget("calendar")
+            budget.earn()
+            requests += 1
+            if budget.available():
+                budget.spend()
+                retries += 1
+    assert retries <= 0.2 * requests + 64
