--- a/lacewingcross/gateway/attempt.py
+++ b/lacewingcross/gateway/attempt.py
@@ -7,7 +7,7 @@
 from .. import headers as hd
 from ..core.attempts import Attempt, Ending
 from ..core.placement import Server
-from ..http1_client import HttpError, ResponseHead
+from ..http1_client import ResponseHead
 from ..http1_exchange import Exchange
 from ..platform import headers as ph
 from .backend_connection import BackendConnection
@@ -179,14 +179,3 @@
     if len(fields) < 2 or not all(text.strip().isdigit() for text in fields[:2]):
         return None
     return int(fields[0]) + int(fields[1])
-
-
-__all__ = [
-    "Answer",
-    "AttemptRun",
-    "CallerBody",
-    "HttpError",
-    "SpoiltAnswerError",
-    "classify",
-    "reported_load",
-]
--- a/lacewingcross/gateway/callers.py
+++ b/lacewingcross/gateway/callers.py
@@ -1,19 +1,20 @@
 """Listeners for callers and for the platform's readiness check."""
 
 import asyncio
-import json
-from urllib.parse import parse_qs
 
 from .. import logs
 from ..checks import split_address
 from ..http1_exchange import Exchange
 from ..http1_server import HttpServer
+from ..platform.directory import (
+    JSON_TYPE,
+    READINESS_PATH,
+    decode_question,
+    encode_answer,
+)
 from .context import Gateway
 from .request import RequestRun
 
-JSON_TYPE = (b"content-type", b"application/json")
-READINESS_PATH = "/v1/readiness"
-LOOKUP_PATH = "/v1/resolve"
 # How long callers may keep an answer, in seconds. Some keep it three times as long;
 # a host that leaves serves on for that long.
 LOOKUP_TTL_S = 1.5
@@ -96,27 +97,26 @@
             await self.server.close()
 
     async def _handle(self, exchange: Exchange) -> None:
-        path, _, query = exchange.head.target.partition("?")
-        if path != LOOKUP_PATH:
+        gateway = self._gateway
+        question = decode_question(exchange.head.target)
+        if question is None:
+            gateway.metrics.count("lookups.unknown-path")
             await exchange.respond(404, [JSON_TYPE], b'{"error":"unknown-path"}')
             return
-        fields = parse_qs(query)
-        name = _first(fields, "name").lower()
-        region = _first(fields, "region")
-        gateway = self._gateway
         table = gateway.steering.table
-        homes = table.home_regions(name) if table else frozenset()
-        addresses = gateway.roster.addresses_for(region, homes, gateway.now())
+        homes = table.home_regions(question.host_name) if table else frozenset()
+        now = gateway.now()
+        addresses = gateway.roster.addresses_for(question.region, homes, now)
         gateway.metrics.count("lookups.answered")
         logs.event(
             "lookup-answered",
             "DEBUG",
-            name=name,
-            region=region,
+            name=question.host_name,
+            region=question.region,
             addresses=len(addresses),
         )
-        body = json.dumps({"addresses": addresses, "ttl_s": LOOKUP_TTL_S})
-        await exchange.respond(200, [JSON_TYPE], body.encode())
+        body = encode_answer(addresses, LOOKUP_TTL_S)
+        await exchange.respond(200, [JSON_TYPE], body)
 
 
 class ReadinessListener:
@@ -145,6 +145,9 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         gateway = self._gateway
+        if exchange.head.target.partition("?")[0] != READINESS_PATH:
+            await exchange.respond(404, [JSON_TYPE], b'{"error":"unknown-path"}')
+            return
         ready = gateway.steering.table is not None and not gateway.roster.leaving
         status = 200 if ready else 503
         await exchange.respond(status, [JSON_TYPE], b'{"ready":%d}' % ready)
@@ -177,7 +180,3 @@
     async def _handle(self, exchange: Exchange) -> None:
         text = self._gateway.metrics.render()
         await exchange.respond(200, [(b"content-type", b"text/plain")], text.encode())
-
-
-def _first(fields: dict[str, list[str]], name: str) -> str:
-    return fields.get(name, [""])[0]
--- /dev/null
+++ b/lacewingcross/gateway/forwarding.py
@@ -0,0 +1,67 @@
+"""What a request and its answer look like on the other side of this host."""
+
+import h11
+
+from .. import headers as hd
+from ..http1_client import ResponseHead
+from ..http1_exchange import RequestHead
+from ..platform import headers as ph
+from .attempt import CallerBody
+
+OWN_REQUEST_HEADERS = frozenset(
+    (
+        ph.REMAINING_MS,
+        ph.EXPECTED_INCARNATION,
+        hd.CONTENT_LENGTH,
+        hd.TRANSFER_ENCODING,
+    )
+)
+OWN_ANSWER_HEADERS = frozenset((hd.CONTENT_LENGTH, hd.TRANSFER_ENCODING))
+
+
+def request_for_server(
+    head: RequestHead, body: CallerBody, server_id: str, left_s: float
+) -> h11.Request:
+    """Return the head of a caller's request as one incarnation of a server gets it.
+
+    Parameters
+    ----------
+    head : RequestHead
+        The caller's.
+    body : CallerBody
+        What was read of the body, which decides how it is framed.
+    server_id : str
+        The incarnation that may run the request; any other refuses it.
+    left_s : float
+        Time until the deadline, in seconds.
+    """
+    fields = [
+        item
+        for item in hd.without_hop_by_hop(head.headers)
+        if item[0] not in OWN_REQUEST_HEADERS
+    ]
+    fields.append((ph.REMAINING_MS, str(max(1, int(left_s * 1000))).encode()))
+    fields.append((ph.EXPECTED_INCARNATION, server_id.encode()))
+    fields += _framing(head, body)
+    return h11.Request(method=head.method, target=head.target, headers=fields)
+
+
+def _framing(head: RequestHead, body: CallerBody) -> hd.HeaderList:
+    """Return the header that frames the body: its length, unless nobody knows it."""
+    length = hd.find(head.headers, hd.CONTENT_LENGTH).encode()
+    if not body.whole:
+        if length:
+            return [(hd.CONTENT_LENGTH, length)]
+        return [(hd.TRANSFER_ENCODING, b"chunked")]
+    if body.size or length or hd.find(head.headers, hd.TRANSFER_ENCODING):
+        return [(hd.CONTENT_LENGTH, str(body.size).encode())]
+    return []
+
+
+def answer_for_caller(head: ResponseHead) -> hd.HeaderList:
+    """Return the headers of a server's answer that travel on, without its framing."""
+    return [
+        item
+        for item in hd.without_hop_by_hop(head.headers)
+        if item[0] not in OWN_ANSWER_HEADERS
+    ]
--- /dev/null
+++ b/lacewingcross/gateway/reply.py
@@ -0,0 +1,127 @@
+"""Answers to one caller's request, the server's or this host's own."""
+
+import json
+from dataclasses import dataclass
+
+from .. import headers as hd
+from .. import logs
+from ..http1_exchange import Exchange
+from ..platform import headers as ph
+from .attempt import Answer, AttemptRun
+from .context import Gateway
+from .forwarding import answer_for_caller
+
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+@dataclass(slots=True, frozen=True)
+class Final:
+    """A final answer of this host's own."""
+
+    status: int
+    reason: str
+    retry_after_s: float = 0.0
+
+
+class Reply:
+    """Sends the one answer of a request and writes the line that ends it.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        What the parts of this host share.
+    exchange : Exchange
+        The caller's exchange.
+    """
+
+    __slots__ = (
+        "_exchange",
+        "_gateway",
+        "_started",
+        "attempts",
+        "request_id",
+        "route",
+        "service",
+    )
+
+    def __init__(self, gateway: Gateway, exchange: Exchange) -> None:
+        self._gateway = gateway
+        self._exchange = exchange
+        self._started = gateway.now()
+        self.attempts = 0
+        self.request_id = ""
+        self.route = ""
+        self.service = ""
+
+    async def deliver(self, run: AttemptRun, answer: Answer) -> None:
+        """Send the server's answer to the caller as it is."""
+        head = answer.head
+        fields = answer_for_caller(head) + self._gateway.closing_headers()
+        if answer.whole:
+            await self._exchange.respond(head.status, fields, answer.body)
+            self.note("answered", head.status)
+            return
+        try:
+            await self._stream(run, answer, fields)
+        except BaseException:
+            # Part of the answer is with the caller; only a broken connection tells it
+            # that the rest will not come.
+            self._exchange.abort()
+            run.let_go(whole=False)
+            self.note("broken-off", head.status)
+            raise
+
+    async def _stream(
+        self, run: AttemptRun, answer: Answer, fields: hd.HeaderList
+    ) -> None:
+        length = hd.find(answer.head.headers, hd.CONTENT_LENGTH).encode()
+        if length:
+            fields = [*fields, (hd.CONTENT_LENGTH, length)]
+        await self._exchange.send_head(answer.head.status, fields)
+        await self._exchange.send_body(answer.body)
+        while part := await run.read_more():
+            await self._exchange.send_body(part)
+        self._exchange.finish()
+        run.let_go(whole=True)
+        self.note("answered", answer.head.status)
+
+    async def finish(self, final: Final, detail: str = "") -> None:
+        """Send a final answer of our own."""
+        if self._exchange.started:
+            self._exchange.abort()
+            return
+        fields = [JSON_TYPE]
+        if self.request_id:
+            fields.append((ph.REQUEST_ID, self.request_id.encode("latin-1")))
+        if final.retry_after_s:
+            pause = f"{final.retry_after_s:.3f}".encode()
+            fields.append((hd.RETRY_AFTER, pause))
+        fields += self._gateway.closing_headers()
+        self.note(final.reason, final.status, final.retry_after_s, detail)
+        body = json.dumps({"error": final.reason, "detail": detail}).encode() + b"\n"
+        await self._exchange.respond(final.status, fields, body)
+
+    def note(
+        self,
+        outcome: str,
+        status: int = 0,
+        retry_after_s: float = 0.0,
+        detail: str = "",
+    ) -> None:
+        """Write the line that ends the request, and count it."""
+        took = self._gateway.now() - self._started
+        metrics = self._gateway.metrics
+        metrics.count(f"requests.{status}.{outcome}")
+        metrics.observe("request", took)
+        logs.event(
+            "request-ended",
+            id=self.request_id,
+            route=self.route,
+            service=self.service,
+            outcome=outcome,
+            status=status,
+            attempts=self.attempts,
+            took_ms=int(took * 1000),
+            retry_after_ms=int(retry_after_s * 1000),
+            detail=detail,
+        )
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -1,28 +1,20 @@
 """One caller's request on this host, from its head to its final answer."""
 
 import asyncio
-import json
-from dataclasses import dataclass
-
-import h11
 
 from .. import headers as hd
 from .. import logs
 from ..core.attempts import Attempt, Ending, Stage, Verdict, decide
-from ..core.placement import Ask, Choice, Refusal, Server
+from ..core.placement import Ask, Choice, Refusal
 from ..core.routes import Route
-from ..http1_client import HttpError
+from ..http1_client import HttpError, ResponseHead
 from ..http1_exchange import CallerGoneError, Exchange
-from ..platform import headers as ph
-from .attempt import (
-    Answer,
-    AttemptRun,
-    CallerBody,
-    SpoiltAnswerError,
-    classify,
-    reported_load,
-)
+from .attempt import Answer, AttemptRun, CallerBody, SpoiltAnswerError, classify
 from .context import Gateway
+from .forwarding import request_for_server
+from .frame import Frame, FrameError, read_frame
+from .learning import AttemptResult, learn
+from .reply import Final, Reply
 
 # Bodies up to this size are read before a server is chosen: a caller that sends slowly
 # holds no slot, and the request can be sent to another server.
@@ -32,65 +24,6 @@
 ANSWER_EARLY_S = 0.01
 # Least time that is worth another attempt, in seconds.
 MIN_LEFT_S = 0.03
-JSON_TYPE = (b"content-type", b"application/json")
-OWN_REQUEST_HEADERS = frozenset(
-    (
-        ph.REMAINING_MS,
-        ph.EXPECTED_INCARNATION,
-        hd.CONTENT_LENGTH,
-        hd.TRANSFER_ENCODING,
-    )
-)
-OWN_ANSWER_HEADERS = frozenset((hd.CONTENT_LENGTH, hd.TRANSFER_ENCODING))
-
-
-@dataclass(slots=True, frozen=True)
-class Frame:
-    """What steering needs to know of a request; `remaining_s` is 0 when unsaid."""
-
-    request_id: str
-    key: str
-    host_name: str
-    path: str
-    remaining_s: float
-
-
-@dataclass(slots=True, frozen=True)
-class Final:
-    """A final answer of this host's own."""
-
-    status: int
-    reason: str
-    retry_after_s: float = 0.0
-
-
-class FrameError(Exception):
-    """A header of the request's frame is not usable."""
-
-
-def read_frame(exchange: Exchange) -> Frame:
-    """Return the frame of a request.
-
-    Raises
-    ------
-    FrameError
-        Names the header and what was expected.
-    """
-    headers = exchange.head.headers
-    target = exchange.head.target
-    if not target.startswith("/"):
-        raise FrameError("expected a path as request target")
-    request_id = hd.find(headers, ph.REQUEST_ID)
-    if not request_id:
-        raise FrameError(f"expected {ph.REQUEST_ID.decode()}")
-    try:
-        remaining = hd.milliseconds(headers, ph.REMAINING_MS)
-    except ValueError as exc:
-        raise FrameError(str(exc)) from exc
-    host_name = hd.find(headers, b"host").partition(":")[0].lower()
-    path = target.partition("?")[0]
-    key = hd.find(headers, ph.AFFINITY_KEY)
-    return Frame(request_id, key, host_name, path, remaining or 0.0)
 
 
 class RequestRun:
@@ -114,6 +47,7 @@
         "_gone",
         "_last",
         "_may_have_run",
+        "_reply",
         "_route",
         "_service",
         "_started",
@@ -136,28 +70,30 @@
         self._gone = False
         self._last = ""
         self._task: asyncio.Task[None] | None = None
+        self._reply = Reply(gateway, exchange)
 
     async def run(self) -> None:
         """Answer the request."""
         try:
             self._frame = read_frame(self._exchange)
         except FrameError as exc:
-            await self._finish(Final(400, "bad-frame"), detail=str(exc))
+            await self._reply.finish(Final(400, "bad-frame"), detail=str(exc))
             return
+        self._reply.request_id = self._frame.request_id
         final = self._find_route()
         if final is not None:
-            await self._finish(final)
+            await self._reply.finish(final)
             return
         self._task = asyncio.current_task()
         self._exchange.on_gone = self._caller_gone
         try:
             await self._steer()
         except CallerGoneError:
-            self._note("caller-gone")
+            self._reply.note("caller-gone")
         except asyncio.CancelledError:
             if not self._gone:
                 raise
-            self._note("caller-gone")
+            self._reply.note("caller-gone")
 
     def _caller_gone(self) -> None:
         """Stop working for a caller that has left.
@@ -177,6 +113,7 @@
         self._route = table.match(self._frame.host_name, self._frame.path)
         if self._route is None:
             return Final(404, "no-route")
+        self._reply.route = self._route.name
         length = hd.find(self._exchange.head.headers, hd.CONTENT_LENGTH)
         if length and int(length) > table.config.limits.max_body_bytes:
             return Final(413, "body-too-large")
@@ -195,7 +132,7 @@
         except TimeoutError:
             answer = self._out_of_time()
         if isinstance(answer, Final):
-            await self._finish(answer)
+            await self._reply.finish(answer)
 
     def _left(self) -> float:
         return max(0.0, self._deadline - self._gateway.now())
@@ -215,6 +152,7 @@
         route = self._route
         steering = self._gateway.steering
         self._service = steering.service_for(route, self._frame.key)
+        self._reply.service = self._service
         budget = steering.budget(self._service)
         budget.earn()
         while True:
@@ -277,6 +215,7 @@
     async def _attempt(self, choice: Choice) -> Verdict:
         server = choice.server
         self._attempts += 1
+        self._reply.attempts = self._attempts
         self._tried.add(server.entry.server_id)
         number = self._gateway.next_attempt()
         attempt = Attempt(self._attempts, server.entry.server_id)
@@ -311,16 +250,22 @@
             ending = Ending.TIMED_OUT
         finally:
             attempt.end(ending)
-            self._may_have_run = ran_before or attempt.stage is Stage.UNKNOWN
+            ran = attempt.stage in (Stage.UNKNOWN, Stage.ANSWERED)
+            self._may_have_run = ran_before or ran
             placement.ended(server)
-            self._learn(server, number, ending, began, answer)
+            result = AttemptResult(
+                number, ending, self._last, began, answer, self._gone
+            )
+            learn(self._gateway, server, result)
             if answer is None or whole or ending is Ending.SERVER_NOT_RUN:
                 run.let_go(whole=whole)
         return await self._conclude(run, attempt, ending, answer)
 
     async def _exchange_with(self, run: AttemptRun) -> Answer:
         await run.connect()
-        run.send(self._head_for(run.server))
+        server_id = run.server.entry.server_id
+        head = self._exchange.head
+        run.send(request_for_server(head, self._body, server_id, self._left()))
         # From here on the server may have run the request, also if we are cancelled.
         self._may_have_run = True
         request_id = self._frame.request_id.encode("latin-1")
@@ -329,7 +274,7 @@
         head = await self._patiently(run, request_id)
         return await run.read_body(head)
 
-    async def _patiently(self, run: AttemptRun, request_id: bytes):
+    async def _patiently(self, run: AttemptRun, request_id: bytes) -> ResponseHead:
         """Wait for the answer's head, and leave a silent server if another can help."""
         if not self._route.repeatable:
             return await run.read_head(request_id)
@@ -354,65 +299,6 @@
         choice = steering.placement.choose(self._ask(), self._gateway.now())
         return isinstance(choice, Choice)
 
-    def _head_for(self, server: Server) -> h11.Request:
-        head = self._exchange.head
-        fields = [
-            item
-            for item in hd.without_hop_by_hop(head.headers)
-            if item[0] not in OWN_REQUEST_HEADERS
-        ]
-        remaining_ms = max(1, int(self._left() * 1000))
-        fields.append((ph.REMAINING_MS, str(remaining_ms).encode()))
-        expected = server.entry.server_id.encode()
-        fields.append((ph.EXPECTED_INCARNATION, expected))
-        names = {name for name, _ in head.headers}
-        if not self._body.whole:
-            length = hd.find(head.headers, hd.CONTENT_LENGTH).encode()
-            framing = (hd.CONTENT_LENGTH, length)
-            if not length:
-                framing = (hd.TRANSFER_ENCODING, b"chunked")
-            fields.append(framing)
-        elif self._body.size or names & {hd.CONTENT_LENGTH, hd.TRANSFER_ENCODING}:
-            fields.append((hd.CONTENT_LENGTH, str(self._body.size).encode()))
-        return h11.Request(method=head.method, target=head.target, headers=fields)
-
-    def _learn(
-        self,
-        server: Server,
-        number: int,
-        ending: Ending,
-        began: float,
-        answer: Answer | None,
-    ) -> None:
-        """Take what the attempt showed of the server into the evidence."""
-        now = self._gateway.now()
-        placement = self._gateway.steering.placement
-        usual = placement.usual_latency(self._service)
-        evidence = server.evidence
-        if answer is not None:
-            load = reported_load(answer.head)
-            if load is not None:
-                placement.learn_load(server, load, now)
-        if ending in (Ending.ANSWERED, Ending.SERVER_ERROR):
-            good = ending is Ending.ANSWERED
-            evidence.answered(number, now, usual, good=good)
-            if good:
-                placement.learn_latency(server, now - began)
-                self._gateway.metrics.observe(f"server.{self._service}", now - began)
-        elif ending is Ending.SERVER_NOT_RUN:
-            full = (reported_load(answer.head) or 0) >= server.entry.slots
-            # A server that is full sheds rightly; one that sheds with free slots, or
-            # whose address now belongs to another incarnation, is passed over.
-            evidence.shed(number, now, full=full)
-        elif ending is Ending.CONNECT_FAILED and self._last == "connect-failed":
-            evidence.unreachable(number, now)
-        elif ending is Ending.CONNECT_FAILED or self._gone:
-            evidence.forgotten(number)
-        elif ending in (Ending.TIMED_OUT, Ending.CANCELLED):
-            evidence.timed_out(number, now)
-        else:
-            evidence.failed(number, now)
-
     async def _conclude(
         self,
         run: AttemptRun,
@@ -438,7 +324,7 @@
         if verdict is not Verdict.DONE or self._attempts > 1:
             self._log_ending(attempt, ending, answer, verdict)
         if verdict is Verdict.DONE:
-            await self._deliver(run, answer)
+            await self._reply.deliver(run, answer)
         elif answer is not None and not answer.whole:
             run.let_go(whole=False)
         return verdict
@@ -468,85 +354,6 @@
         choice = self._could_move()
         return Verdict.RETRY if route.repeatable and choice else verdict
 
-    # Answers
-
-    async def _deliver(self, run: AttemptRun, answer: Answer) -> None:
-        """Send the server's answer to the caller as it is."""
-        head = answer.head
-        fields = [
-            item
-            for item in hd.without_hop_by_hop(head.headers)
-            if item[0] not in OWN_ANSWER_HEADERS
-        ]
-        fields += self._gateway.closing_headers()
-        if answer.whole:
-            await self._exchange.respond(head.status, fields, answer.body)
-            self._note("answered", head.status)
-            return
-        try:
-            await self._stream(run, answer, fields)
-        except BaseException:
-            self._exchange.abort()
-            run.let_go(whole=False)
-            self._note("broken-off", head.status)
-            raise
-
-    async def _stream(
-        self, run: AttemptRun, answer: Answer, fields: hd.HeaderList
-    ) -> None:
-        length = hd.find(answer.head.headers, hd.CONTENT_LENGTH).encode()
-        if length:
-            fields = [*fields, (hd.CONTENT_LENGTH, length)]
-        await self._exchange.send_head(answer.head.status, fields)
-        await self._exchange.send_body(answer.body)
-        while part := await run.read_more():
-            await self._exchange.send_body(part)
-        self._exchange.finish()
-        run.let_go(whole=True)
-        self._note("answered", answer.head.status)
-
-    async def _finish(self, final: Final, detail: str = "") -> None:
-        """Send a final answer of our own."""
-        if self._exchange.started:
-            self._exchange.abort()
-            return
-        request_id = self._frame.request_id if self._frame else ""
-        fields = [JSON_TYPE]
-        if request_id:
-            fields.append((ph.REQUEST_ID, request_id.encode("latin-1")))
-        if final.retry_after_s:
-            pause = f"{final.retry_after_s:.3f}".encode()
-            fields.append((hd.RETRY_AFTER, pause))
-        fields += self._gateway.closing_headers()
-        self._note(final.reason, final.status, final.retry_after_s, detail)
-        body = json.dumps({"error": final.reason, "detail": detail}).encode() + b"\n"
-        await self._exchange.respond(final.status, fields, body)
-
-    def _note(
-        self,
-        outcome: str,
-        status: int = 0,
-        retry_after_s: float = 0.0,
-        detail: str = "",
-    ) -> None:
-        took = self._gateway.now() - self._started
-        metrics = self._gateway.metrics
-        metrics.count(f"requests.{status}.{outcome}")
-        route = self._route.name if self._route else ""
-        metrics.observe("request", took)
-        logs.event(
-            "request-ended",
-            id=self._frame.request_id if self._frame else "",
-            route=route,
-            service=self._service,
-            outcome=outcome,
-            status=status,
-            attempts=self._attempts,
-            took_ms=int(took * 1000),
-            retry_after_ms=int(retry_after_s * 1000),
-            detail=detail,
-        )
-
 
 class _LeftSilentServerError(Exception):
     """A server was silent for too long and another one can take the request."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -369,3 +369,19 @@
         got = await ask(app, "/safe/a")
         assert got.status == 503
         assert json.loads(got.body)["error"] == "no-server"
+
+
+@in_loop
+async def test_a_read_that_a_server_ran_is_never_called_not_run():
+    # A server runs a read and fails with 500; no other server can take it. "Not run"
+    # would be a lie, and whoever reads the logs would look in the wrong place.
+    async def fails(received, writer):
+        writer.write(answer(received.request_id, b"oops", status=500))
+
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(fails)
+        app = await made.ready(await made.add_host())
+        got = await ask(app, "/safe/a")
+        assert got.status == 500
+        assert header(got, "x-lacewingcross-response-signature") == "s1"
