--- a/lacewingcross/core/roster.py
+++ b/lacewingcross/core/roster.py
@@ -51,14 +51,24 @@
         This host.
     """
 
-    __slots__ = ("entries", "leaving", "listed", "own")
+    __slots__ = ("entries", "leaving", "listed", "own", "starting")
 
     def __init__(self, own: HostInfo) -> None:
         self.own = own
         self.leaving = False
         self.listed = False
+        self.starting = True
         self.entries: dict[str, Entry] = {}
 
+    @property
+    def out(self) -> bool:
+        """Tell whether callers should use other hosts.
+
+        Failure: a host that has just started is named to callers before it has read
+        the configuration; it could only refuse them.
+        """
+        return self.leaving or self.starting
+
     def learn(self, info: HostInfo, now: float) -> bool:
         """Take in a host's addresses; return whether they are new."""
         if info.host_id == self.own.host_id:
@@ -126,7 +136,7 @@
         Callers are sent to their own region. If no host lives there, they go to the
         regions to which their requests are bound, or to any when they are not bound.
         """
-        serving = list(self._serving(now))
+        serving = list(self._serving(now)) or self.live(now)
         in_homes = [info for info in serving if info.region in homes]
         elsewhere = in_homes if homes else serving
         here = [info for info in serving if info.region == region]
@@ -134,7 +144,7 @@
         return [info.entry for info in chosen]
 
     def _serving(self, now: float) -> Iterable[HostInfo]:
-        if not self.leaving:
+        if not self.out:
             yield self.own
         for entry in self.entries.values():
             if entry.live(now) and not entry.leaving:
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -172,6 +172,10 @@
             self.placement.drop_server(name)
         return over
 
+    def ready(self) -> bool:
+        """Tell whether configuration and servers are known."""
+        return self.table is not None and self.replica.as_of(Kind.SERVER) > 0
+
     # Requests
 
     @property
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -143,6 +143,10 @@
                 placement.set_peer_counts(host_id, {})
         gateway.steering.hosts = 1 + len(gateway.roster.entries)
         placement.region_hosts = gateway.roster.region_size(gateway.cfg.region)
+        if gateway.roster.starting and gateway.steering.ready():
+            gateway.roster.starting = False
+            self._peers.announce()
+            logs.event("host-serving", config=gateway.steering.table.config.version)
         metrics = gateway.metrics
         metrics.set_gauge("requests.running", self.entry.running)
         metrics.set_gauge("callers.connections", self.entry.server.connections)
--- a/lacewingcross/gateway/callers.py
+++ b/lacewingcross/gateway/callers.py
@@ -148,7 +148,7 @@
         if exchange.head.target.partition("?")[0] != READINESS_PATH:
             await exchange.respond(404, [JSON_TYPE], b'{"error":"unknown-path"}')
             return
-        ready = gateway.steering.table is not None and not gateway.roster.leaving
+        ready = gateway.steering.ready() and not gateway.roster.leaving
         status = 200 if ready else 503
         await exchange.respond(status, [JSON_TYPE], b'{"ready":%d}' % ready)
 
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -148,7 +148,7 @@
             msg.StorePull(int(kind), gateway.steering.replica.as_of(kind))
             for kind in Kind
         ]
-        alive = msg.Alive(gateway.roster.leaving, [])
+        alive = msg.Alive(gateway.roster.out, [])
         return [hello, alive, msg.Members(known), *pulls]
 
     def publish(self, update: Update) -> None:
@@ -158,7 +158,7 @@
             link.send_frame(frame)
 
     def announce(self) -> None:
-        """Tell all hosts at once whether this one leaves."""
+        """Tell all hosts at once whether callers should use this one."""
         for link in self._links.values():
             link.told_at = float("-inf")
         self._tell_counts()
@@ -172,7 +172,7 @@
                 counts = by_region.setdefault(server.region, {})
                 counts[server.entry.server_id] = server.own
         frames: dict[str, bytes] = {}
-        leaving = self.gateway.roster.leaving
+        leaving = self.gateway.roster.out
         for link in self._links.values():
             region = link.info.region
             counts = by_region.get(region, {})
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -12,6 +12,7 @@
 
 def roster(*others):
     made = Roster(host(0))
+    made.starting = False
     for info in others:
         made.heard(info, 1, 0.0, leaving=False)
     return made
@@ -47,6 +48,7 @@
 def test_the_answer_is_never_empty():
     made = roster()
     made.leaving = True
+    assert made.addresses_for("z", frozenset(), 1.0) == ["10.0.0.0:1"]
     assert made.addresses_for("z", frozenset(["y"]), 1.0) == ["10.0.0.0:1"]
 
 
@@ -87,3 +89,13 @@
     made.heard(host(1), 1, 0.0, leaving=False)
     made.listed = True
     assert made.region_size("a") == 2
+
+
+def test_a_host_that_has_not_read_the_configuration_is_not_named():
+    # A host restarts. Callers that are sent to it at once are refused with 503 until
+    # it has read the store; the others of its region could have served them.
+    made = roster(host(1))
+    made.starting = True
+    assert made.addresses_for("a", frozenset(), 1.0) == ["10.0.0.1:1"]
+    made.heard(host(1), 1, 1.0, leaving=True)
+    assert len(made.addresses_for("a", frozenset(), 1.0)) == 2
