--- /dev/null
+++ b/lacewingcross/frame_queue.py
@@ -0,0 +1,56 @@
+"""Frames that wait for a stream to another process, and their way out."""
+
+import asyncio
+from collections import deque
+
+WRITE_BATCH = 256
+
+
+class FrameQueue:
+    """A bounded queue of encoded messages for one stream.
+
+    Parameters
+    ----------
+    most : int
+        Frames that may wait; the oldest is dropped for a newer one.
+    """
+
+    __slots__ = ("_frames", "_most", "_wake")
+
+    def __init__(self, most: int) -> None:
+        self._frames: deque[bytes] = deque()
+        self._most = most
+        self._wake = asyncio.Event()
+
+    def put(self, frame: bytes) -> bool:
+        """Queue a frame; return whether an older one was dropped for it."""
+        full = len(self._frames) >= self._most
+        if full:
+            self._frames.popleft()
+        self._frames.append(frame)
+        self._wake.set()
+        return full
+
+    def clear(self) -> None:
+        """Drop what waits."""
+        self._frames.clear()
+
+    async def pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Write frames as they come, until the other side closes the stream."""
+        gone = asyncio.get_running_loop().create_task(reader.read(1))
+        gone.add_done_callback(lambda _task: self._wake.set())
+        try:
+            while not gone.done():
+                if not self._frames:
+                    self._wake.clear()
+                    await self._wake.wait()
+                    continue
+                count = min(len(self._frames), WRITE_BATCH)
+                batch = [self._frames.popleft() for _ in range(count)]
+                writer.write(b"".join(batch))
+                await writer.drain()
+        finally:
+            gone.cancel()
+            await asyncio.gather(gone, return_exceptions=True)
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -8,6 +8,7 @@
 import signal
 
 from .. import logs
+from ..checks import split_address
 from ..clock import Clock, SystemClock
 from ..core.membership import HostInfo
 from ..core.placement import Placement
@@ -15,18 +16,14 @@
 from ..core.roster import Roster
 from ..core.steering import Steering
 from ..errors import SettingsError
-from ..host.supervisor import Child, Supervisor
+from ..host.supervisor import Child, Supervisor, run_until_stopped
 from ..platform.objects import ObjectDecoder
 from ..platform.settings import SETTINGS_VARIABLE, load_gateway, settings_path
 from ..platform.store import ObjectStore
-from .callers import (
-    CallerListener,
-    DirectoryListener,
-    MetricsListener,
-    ReadinessListener,
-)
+from .callers import CallerListener
 from .context import Gateway
 from .following import HostDirectory, StoreFollower
+from .pages import PageListener, answer_lookup, answer_metrics, answer_readiness
 from .peers import Peers
 from .settings import GatewaySettings
 
@@ -101,7 +98,10 @@
         self.root = Supervisor("gateway", self._children())
 
     def _children(self) -> list[Child]:
-        follower = StoreFollower(self.gateway, self._store, self._peers.publish)
+        gateway = self.gateway
+        cfg = gateway.cfg
+        follower = StoreFollower(gateway, self._store, self._peers.publish)
+        metrics = f"{split_address(cfg.entry)[0]}:{cfg.metrics_port}"
         return [
             Child("peers", self._peers.run),
             Child("tell", self._peers.tell),
@@ -111,9 +111,11 @@
             Child("servers", follower.following(Kind.SERVER)),
             Child("hosts", self._hosts.run),
             Child("entry", self.entry.run),
-            Child("directory", DirectoryListener(self.gateway).run),
-            Child("readiness", ReadinessListener(self.gateway).run),
-            Child("metrics", MetricsListener(self.gateway).run),
+            Child("directory", PageListener(gateway, cfg.directory, answer_lookup).run),
+            Child(
+                "readiness", PageListener(gateway, cfg.readiness, answer_readiness).run
+            ),
+            Child("metrics", PageListener(gateway, metrics, answer_metrics).run),
             Child("settings", self._follow_settings),
             Child("ticker", self._tick),
         ]
@@ -190,20 +192,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Run until `stop` is set and every request has had its answer."""
-        loop = asyncio.get_running_loop()
-        tree = loop.create_task(self.root.run())
-        stopping = loop.create_task(stop.wait())
-        try:
-            await asyncio.wait((tree, stopping), return_when=asyncio.FIRST_COMPLETED)
-            if not tree.done():
-                await self._leave()
-        finally:
-            stopping.cancel()
-            tree.cancel()
-            await asyncio.gather(tree, return_exceptions=True)
-            self._store.close()
-        if not tree.cancelled() and tree.exception() is not None:
-            raise tree.exception()
+        await run_until_stopped(self.root, stop, self._leave, self._store.close)
 
     async def _leave(self) -> None:
         """Leave the lists of hosts at once, serve on, finish every request, then end.
--- /dev/null
+++ b/lacewingcross/gateway/pages.py
@@ -0,0 +1,97 @@
+"""Small listeners of a host: where to connect, whether it is ready, its figures."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from .. import logs
+from ..checks import split_address
+from ..http1_exchange import Exchange
+from ..http1_server import HttpServer
+from ..platform.directory import (
+    JSON_TYPE,
+    READINESS_PATH,
+    decode_question,
+    encode_answer,
+)
+from .context import Gateway
+
+# How long callers may keep an answer, in seconds. Some keep it three times as long;
+# a host that leaves serves on for that long.
+LOOKUP_TTL_S = 1.5
+TEXT_TYPE = (b"content-type", b"text/plain")
+UNKNOWN_PATH = b'{"error":"unknown-path"}'
+
+Answer = Callable[[Gateway, Exchange], Awaitable[None]]
+
+
+class PageListener:
+    """Serves one kind of question on an address of its own.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        What the parts of this host share.
+    address : str
+        Where to listen.
+    answer : callable
+        Answers each request.
+    """
+
+    __slots__ = ("_address", "_answer", "_gateway")
+
+    def __init__(self, gateway: Gateway, address: str, answer: Answer) -> None:
+        self._gateway = gateway
+        self._address = address
+        self._answer = answer
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        host, port = split_address(self._address)
+        server = HttpServer(self._handle, self._gateway.now)
+        await server.start(host, port)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            await server.close()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        await self._answer(self._gateway, exchange)
+
+
+async def answer_lookup(gateway: Gateway, exchange: Exchange) -> None:
+    """Tell a caller which entry hosts to use."""
+    question = decode_question(exchange.head.target)
+    if question is None:
+        gateway.metrics.count("lookups.unknown-path")
+        await exchange.respond(404, [JSON_TYPE], UNKNOWN_PATH)
+        return
+    table = gateway.steering.table
+    homes = table.home_regions(question.host_name) if table else frozenset()
+    now = gateway.now()
+    addresses = gateway.roster.addresses_for(question.region, homes, now)
+    gateway.metrics.count("lookups.answered")
+    logs.event(
+        "lookup-answered",
+        "DEBUG",
+        name=question.host_name,
+        region=question.region,
+        addresses=len(addresses),
+    )
+    body = encode_answer(addresses, LOOKUP_TTL_S)
+    await exchange.respond(200, [JSON_TYPE], body)
+
+
+async def answer_readiness(gateway: Gateway, exchange: Exchange) -> None:
+    """Tell the platform whether this host takes requests."""
+    if exchange.head.target.partition("?")[0] != READINESS_PATH:
+        await exchange.respond(404, [JSON_TYPE], UNKNOWN_PATH)
+        return
+    ready = gateway.steering.ready() and not gateway.roster.leaving
+    status = 200 if ready else 503
+    await exchange.respond(status, [JSON_TYPE], b'{"ready":%d}' % ready)
+
+
+async def answer_metrics(gateway: Gateway, exchange: Exchange) -> None:
+    """Give the counters and histograms as text."""
+    text = gateway.metrics.render()
+    await exchange.respond(200, [TEXT_TYPE], text.encode())
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections import Counter, deque
+from collections import Counter
 
 from .. import logs
 from ..checks import is_address, is_name, split_address
@@ -11,6 +11,7 @@
 from ..core.replica import Document, Kind, Update
 from ..core.roster import ALIVE_EVERY_S
 from ..errors import FrameError
+from ..frame_queue import FrameQueue
 from ..sockets import watch_silence
 from ..wire import PROTOCOL, encode, read_message
 from .context import Gateway
@@ -25,20 +26,19 @@
 # How often changed counts of requests in flight are told, in seconds. Requests take
 # about 70 ms at a warm server, so older counts say little.
 COUNTS_EVERY_S = 0.03
-# Messages kept for a host that takes none; then the stream is begun anew and the host
-# asks for what it missed.
+# Messages kept for a host that takes none. The oldest are dropped; the host sees from
+# the revisions of later ones that it missed some, and asks for them.
 QUEUE_MAX = 2000
 
 
 class Link:
     """The outgoing stream to one host; only this side sends on it."""
 
-    __slots__ = ("_peers", "_queue", "_wake", "info", "task", "told", "told_at")
+    __slots__ = ("_peers", "_queue", "info", "task", "told", "told_at")
 
     def __init__(self, peers: "Peers", info: HostInfo) -> None:
         self._peers = peers
-        self._queue: deque[bytes] = deque()
-        self._wake = asyncio.Event()
+        self._queue = FrameQueue(QUEUE_MAX)
         self.info = info
         self.told: dict[str, int] = {}
         self.told_at = float("-inf")
@@ -50,11 +50,8 @@
 
     def send_frame(self, frame: bytes) -> None:
         """Queue an encoded message for the host."""
-        if len(self._queue) >= QUEUE_MAX:
-            self._queue.clear()
-            self._peers.gateway.metrics.count("peers.queue-dropped")
-        self._queue.append(frame)
-        self._wake.set()
+        if self._queue.put(frame):
+            self._peers.gateway.metrics.count("peers.dropped")
 
     async def _run(self) -> None:
         while True:
@@ -85,29 +82,10 @@
         try:
             for message in self._peers.greeting():
                 writer.write(encode(message))
-            await self._pump(reader, writer)
+            await self._queue.pump(reader, writer)
         finally:
             writer.transport.abort()
 
-    async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        gone = asyncio.get_running_loop().create_task(reader.read(1))
-        gone.add_done_callback(lambda _task: self._wake.set())
-        try:
-            while not gone.done():
-                if not self._queue:
-                    self._wake.clear()
-                    await self._wake.wait()
-                    continue
-                batch = b"".join(self._queue)
-                self._queue.clear()
-                writer.write(batch)
-                await writer.drain()
-        finally:
-            gone.cancel()
-            await asyncio.gather(gone, return_exceptions=True)
-
 
 class Peers:
     """Links to all known hosts, and the listener for theirs.
--- a/lacewingcross/host/app.py
+++ b/lacewingcross/host/app.py
@@ -23,7 +23,7 @@
 from .platform.watch import ConfigWatcher, HostListPoller
 from .platform.writes import PlatformWriter
 from .runtime import Runtime
-from .supervisor import Child, Supervisor
+from .supervisor import Child, Supervisor, run_until_stopped
 
 INCARNATION_BITS = 24
 BUSY_TICK_S = 0.02
@@ -117,21 +117,11 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Run until `stop` is set and every request has had its answer."""
-        loop = asyncio.get_running_loop()
-        tree = loop.create_task(self.root.run())
-        stopping = loop.create_task(stop.wait())
-        try:
-            await asyncio.wait((tree, stopping), return_when=asyncio.FIRST_COMPLETED)
-            if not tree.done():
-                await self._leave()
-        finally:
-            stopping.cancel()
-            tree.cancel()
-            self._writer.close()
-            self._platform.close()
-            await asyncio.gather(tree, return_exceptions=True)
-        if not tree.cancelled() and tree.exception() is not None:
-            raise tree.exception()
+        await run_until_stopped(self.root, stop, self._leave, self._close)
+
+    def _close(self) -> None:
+        self._writer.close()
+        self._platform.close()
 
     async def _leave(self) -> None:
         """Leave look-ups first, then finish every request, however long it takes.
--- a/lacewingcross/host/mesh/links.py
+++ b/lacewingcross/host/mesh/links.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import ssl as ssl_module
-from collections import deque
 
 from ... import logs
 from ...checks import is_address, is_name, split_address
@@ -11,6 +10,7 @@
 from ...core.events import PeerBroken, PeerConnected, PeerMessage
 from ...core.membership import HostInfo
 from ...errors import FrameError
+from ...frame_queue import FrameQueue
 from ...tls import peer_name
 from ...wire import PROTOCOL, encode, read_message
 from ..runtime import Runtime
@@ -23,28 +23,23 @@
 REVIEW_S = 0.2
 SEEK_S = 0.3
 GREET_S = 1.0
-WRITE_BATCH = 256
 
 
 class Link:
     """An outgoing stream to one host; only this side sends on it."""
 
-    __slots__ = ("_mesh", "_queue", "_wake", "host_id", "task")
+    __slots__ = ("_mesh", "_queue", "host_id", "task")
 
     def __init__(self, mesh: "Mesh", host_id: str) -> None:
         self._mesh = mesh
-        self._queue: deque[bytes] = deque()
-        self._wake = asyncio.Event()
+        self._queue = FrameQueue(QUEUE_MAX)
         self.host_id = host_id
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def send(self, message: msg.Message) -> None:
         """Queue a message; the oldest are dropped when the host takes none."""
-        if len(self._queue) >= QUEUE_MAX:
-            self._queue.popleft()
+        if self._queue.put(encode(message)):
             self._mesh.runtime.metrics.count("peers.dropped")
-        self._queue.append(encode(message))
-        self._wake.set()
 
     async def _run(self) -> None:
         pause = REDIAL_MIN_S
@@ -66,32 +61,13 @@
         reader, writer = stream
         try:
             writer.write(encode(self._mesh.hello()))
-            await self._pump(reader, writer)
+            await self._queue.pump(reader, writer)
         except (OSError, ssl_module.SSLError):
             pass
         finally:
             writer.transport.abort()
         return True
 
-    async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        gone = asyncio.get_running_loop().create_task(reader.read(1))
-        gone.add_done_callback(lambda _task: self._wake.set())
-        try:
-            while not gone.done():
-                if not self._queue:
-                    self._wake.clear()
-                    await self._wake.wait()
-                    continue
-                count = min(len(self._queue), WRITE_BATCH)
-                batch = [self._queue.popleft() for _ in range(count)]
-                writer.write(b"".join(batch))
-                await writer.drain()
-        finally:
-            gone.cancel()
-            await asyncio.gather(gone, return_exceptions=True)
-
 
 class Mesh:
     """Links to all hosts that the core knows, and the listener for theirs.
--- a/lacewingcross/host/supervisor.py
+++ b/lacewingcross/host/supervisor.py
@@ -83,3 +83,38 @@
                 pause = RESTART_MIN_S
             await asyncio.sleep(pause)
             pause = min(RESTART_MAX_S, pause * 2)
+
+
+async def run_until_stopped(
+    root: Supervisor,
+    stop: asyncio.Event,
+    leave: Callable[[], Awaitable[None]],
+    close: Callable[[], None],
+) -> None:
+    """Run a tree until `stop` is set, then leave gracefully and end it.
+
+    Parameters
+    ----------
+    root : Supervisor
+        The tree.
+    stop : asyncio.Event
+        Set when the process is to end.
+    leave : callable
+        Finishes what has begun, while the tree still runs.
+    close : callable
+        Lets go of what the tree leaves behind.
+    """
+    loop = asyncio.get_running_loop()
+    tree = loop.create_task(root.run())
+    stopping = loop.create_task(stop.wait())
+    try:
+        await asyncio.wait((tree, stopping), return_when=asyncio.FIRST_COMPLETED)
+        if not tree.done():
+            await leave()
+    finally:
+        stopping.cancel()
+        tree.cancel()
+        close()
+        await asyncio.gather(tree, return_exceptions=True)
+    if not tree.cancelled() and tree.exception() is not None:
+        raise tree.exception()
