--- a/tests/processes.py
+++ b/tests/processes.py
@@ -64,6 +64,7 @@
         for cfg in self.layout.hosts:
             self.spawn(cfg.host_id, ["host"], cfg)
         await self.platform_ready()
+        await self.backends_ready()
         newest = 0
         for document in read_documents(self.layout.resources, "layout"):
             newest = max(newest, (await self.operator.apply(document)).version)
@@ -121,6 +122,15 @@
         address = self.layout.platform.listen
         await until(lambda: self.fetch(address, "/v1/hosts", ssl=self.ssl))
 
+    async def backends_ready(self) -> None:
+        """Wait until every backend server answers.
+
+        Failure: on a busy machine hosts are ready before the servers listen; a test
+        that then reads a server's ledger gets nothing and fails.
+        """
+        for cfg in self.layout.backends:
+            await until(lambda cfg=cfg: self.fetch(cfg.listen, "/control/ledger"))
+
     async def _planned(self) -> bool:
         for cfg in self.layout.hosts:
             status = await self.fetch(cfg.operators, "/status")
