One greeting check, one random source, one JSON header; what nothing read is out

Found by reading the whole change again: peers.py and links.py checked a hello alike (greeting.host_of serves both); placement and steering named random.Random where the core has RandomSource; logs formed the same line format twice, and JSON_TYPE stood four times; the spread of a refusal's pause stood in the request as well as in placement. Fields and names that nothing read are removed; a platform word in the core is now cold_rate; a doc string that promised what the code does not do says what it does.

--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -6,13 +6,13 @@
 each region and is refused rather than spread further.
 """
 
-import random
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from .cold import ColdShare, share_of
 from .estimate import ServiceTimes
 from .evidence import SILENT_MIN_S, Evidence
+from .randomness import RandomSource
 from .rendezvous import HASH_RANGE, hash64, ranked
 from .roster import HOSTS_UNLISTED
 from .routes import Service
@@ -128,7 +128,7 @@
         Region of this host.
     region_of : dict of str to str
         Region of each failure domain.
-    rng : random.Random
+    rng : RandomSource
         Source of spreads.
     cold_over, cold_slack : float
         Bound on requests to cold servers, see `share_of`.
@@ -156,7 +156,7 @@
         self,
         region: str,
         region_of: dict[str, str],
-        rng: random.Random,
+        rng: RandomSource,
         cold_over: float,
         cold_slack: float,
     ) -> None:
@@ -253,7 +253,7 @@
         if not homes:
             known = self._by_service.get(ask.service)
             reason = NO_USABLE_SERVER if known else "no-server"
-            return Refusal(reason, self._pause(ask.service))
+            return Refusal(reason, self.pause(ask.service))
         if homes[0].region != self._region:
             return self._first_with_room(homes, ask, now, "elsewhere")
         return self._choose_region(homes[0], homes[1:], ask, now)
@@ -276,7 +276,7 @@
         elsewhere although there is room at home.
         """
         room = self._has_room(home, ask, now)
-        away: Choice | Refusal = Refusal("full", self._pause(ask.service))
+        away: Choice | Refusal = Refusal("full", self.pause(ask.service))
         if not room or self.guard.too_few_away():
             away = self._first_with_room(others, ask, now, "spilled")
         wants_away = not room and isinstance(away, Choice)
@@ -305,12 +305,12 @@
         for server in servers:
             if self._has_room(server, ask, now):
                 return Choice(server, why)
-        return Refusal("full", self._pause(ask.service))
+        return Refusal("full", self.pause(ask.service))
 
     def _point(self, key: str) -> float:
         """Return a fixed place between 0 and 1 for a key, any for none."""
         if not key:
-            return self._rng.random()
+            return self._rng.uniform(0.0, 1.0)
         return hash64("overflow", key) / HASH_RANGE
 
     def _regions(self, ask: Ask) -> list[str]:
@@ -354,7 +354,7 @@
         if declared is None or server.region != self._region:
             return False
         limit = share_of(
-            declared.cold_per_s, self._cold_over, self._cold_slack, self.region_hosts
+            declared.cold_rate, self._cold_over, self._cold_slack, self.region_hosts
         )
         return server.cold_share.room(limit, now)
 
@@ -391,7 +391,8 @@
             return PATIENCE_FIRST_S
         return max(SILENT_MIN_S, PATIENCE_TIMES * times.quantile(PATIENCE_PART))
 
-    def _pause(self, service: str) -> float:
+    def pause(self, service: str) -> float:
+        """Return when refused callers should come back, in seconds, spread."""
         wait = self.usual_latency(service)
         return wait * self._rng.uniform(1 - SPREAD, 1 + SPREAD)
 
--- a/lacewingcross/core/replica.py
+++ b/lacewingcross/core/replica.py
@@ -63,10 +63,6 @@
         """Return the store's revision up to which nothing of `kind` is missing."""
         return self._copies[kind].as_of
 
-    def complete(self) -> bool:
-        """Tell whether every kind was seen whole at least once."""
-        return all(copy.as_of for copy in self._copies.values())
-
     def known(self, kind: Kind) -> list[Document]:
         """Return the documents of a kind that exist."""
         documents = self._copies[kind].documents.values()
--- a/lacewingcross/core/routes.py
+++ b/lacewingcross/core/routes.py
@@ -20,7 +20,6 @@
     host_name: str
     prefix: str
     repeatable: bool
-    upload: bool
     parts: tuple[Part, ...]
     timeout_s: float
     target_s: float
@@ -32,13 +31,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Service:
-    """What operators declared of a service."""
+    """What operators declared of a service.
+
+    `cold_rate` is the requests a second that a server bears while it is cold.
+    """
 
     name: str
     health_path: str
     max_connections: int
     cold_start_s: float
-    cold_per_s: float
+    cold_rate: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -1,12 +1,12 @@
 """What one entry host believes and decides, put together from the core's parts."""
 
-import random
 from dataclasses import dataclass
 from typing import Protocol
 
 from ..errors import UserError
 from .attempts import RetryBudget
 from .placement import Placement, ServerEntry
+from .randomness import RandomSource
 from .replica import Document, Kind, Replica, Update
 from .routes import CallerLimits, Configuration, Route, RouteTable
 from .splits import Splitter
@@ -52,7 +52,7 @@
         Backend servers.
     decoder : Decoder
         Reads stored objects.
-    rng : random.Random
+    rng : RandomSource
         Source of spreads.
     retry_ratio, retry_extra : float
         The retry allowance that all hosts share, for each service.
@@ -80,7 +80,7 @@
         self,
         placement: Placement,
         decoder: Decoder,
-        rng: random.Random,
+        rng: RandomSource,
         retry_ratio: float,
         retry_extra: float,
     ) -> None:
@@ -191,7 +191,7 @@
         if known is None or known[0].parts != route.parts:
             known = (route, Splitter(route))
             self._splitters[route.name] = known
-        return known[1].pick(key or str(self.rng.random()))
+        return known[1].pick(key or str(self.rng.uniform(0.0, 1.0)))
 
     def least_urgent(self, service: str) -> int:
         """Return the lowest rank among the routes that may go to a service."""
--- a/lacewingcross/gateway/attempt.py
+++ b/lacewingcross/gateway/attempt.py
@@ -17,7 +17,7 @@
 # a spoilt one can be tried again; a larger one is passed on as it comes.
 WHOLE_MAX = 256 * 1024
 MISDIRECTED = 421
-# The server's own word that time ran out in its queue or at work.
+# Statuses from here on are the server's own failures.
 SERVER_ERRORS = 500
 
 
@@ -77,7 +77,6 @@
         "_conn",
         "_repeatable",
         "attempt",
-        "kept",
         "server",
     )
 
@@ -96,14 +95,12 @@
         self._repeatable = repeatable
         self.attempt = attempt
         self.server = server
-        self.kept = False
 
     async def connect(self) -> None:
         """Take a connection; raise HttpError when there is none."""
         self._conn = await self._backends.take(
             self.server.entry, repeatable=self._repeatable
         )
-        self.kept = self._conn.used_at > 0
 
     def send(self, request: h11.Request) -> None:
         """Send the request, and as much of its body as was read."""
@@ -113,8 +110,7 @@
     async def send_rest(self) -> None:
         """Send the part of a large body that is still with the caller.
 
-        Stops when the server answers before the end; the connection is not used
-        again then, since the server still waits for the rest.
+        An answer that comes before the end waits until the body is through.
         """
         while not self._body.whole:
             part = await self._body.exchange.read()
--- a/lacewingcross/gateway/backend_connection.py
+++ b/lacewingcross/gateway/backend_connection.py
@@ -31,7 +31,6 @@
 
     __slots__ = (
         "_busy",
-        "_ended",
         "_h11",
         "_request",
         "_waiter",
@@ -44,7 +43,6 @@
     def __init__(self) -> None:
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
         self._busy = False
-        self._ended = False
         self._request: h11.Request | None = None
         self._waiter: asyncio.Future[None] | None = None
         self.keep_s = DEFAULT_KEEP_S
@@ -82,7 +80,6 @@
     def eof_received(self) -> bool:
         """Note the end of the stream; an answer without a length ends with it."""
         if self._busy:
-            self._ended = True
             self._feed(b"")
         self.lost = self.lost or "closed"
         return False
--- a/lacewingcross/gateway/pages.py
+++ b/lacewingcross/gateway/pages.py
@@ -6,9 +6,9 @@
 from .. import logs
 from ..checks import split_address
 from ..http1_exchange import Exchange
+from ..http1_json import JSON_TYPE
 from ..http1_server import HttpServer
 from ..platform.directory import (
-    JSON_TYPE,
     READINESS_PATH,
     decode_question,
     encode_answer,
@@ -63,7 +63,7 @@
     question = decode_question(exchange.head.target)
     if question is None:
         gateway.metrics.count("lookups.unknown-path")
-        await exchange.respond(404, [JSON_TYPE], UNKNOWN_PATH)
+        await exchange.respond(404, JSON_TYPE, UNKNOWN_PATH)
         return
     table = gateway.steering.table
     homes = table.home_regions(question.host_name) if table else frozenset()
@@ -78,17 +78,17 @@
         addresses=len(addresses),
     )
     body = encode_answer(addresses, LOOKUP_TTL_S)
-    await exchange.respond(200, [JSON_TYPE], body)
+    await exchange.respond(200, JSON_TYPE, body)
 
 
 async def answer_readiness(gateway: Gateway, exchange: Exchange) -> None:
     """Tell the platform whether this host takes requests."""
     if exchange.head.target.partition("?")[0] != READINESS_PATH:
-        await exchange.respond(404, [JSON_TYPE], UNKNOWN_PATH)
+        await exchange.respond(404, JSON_TYPE, UNKNOWN_PATH)
         return
     ready = gateway.steering.ready() and not gateway.roster.leaving
     status = 200 if ready else 503
-    await exchange.respond(status, [JSON_TYPE], b'{"ready":%d}' % ready)
+    await exchange.respond(status, JSON_TYPE, b'{"ready":%d}' % ready)
 
 
 async def answer_metrics(gateway: Gateway, exchange: Exchange) -> None:
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -5,13 +5,14 @@
 from collections import Counter
 
 from .. import logs
-from ..checks import is_address, is_name, split_address
+from ..checks import split_address
 from ..core import messages as msg
 from ..core.membership import HostInfo
 from ..core.replica import Document, Kind, Update
 from ..core.roster import ALIVE_EVERY_S
 from ..errors import FrameError
 from ..frame_queue import FrameQueue
+from ..greeting import host_of
 from ..sockets import watch_silence
 from ..wire import PROTOCOL, encode, read_message
 from .context import Gateway
@@ -253,7 +254,7 @@
     async def _receive(self, reader: asyncio.StreamReader) -> None:
         async with asyncio.timeout(QUIET_S):
             hello = await read_message(reader)
-        info = _check_hello(hello)
+        info = host_of(hello)
         while True:
             async with asyncio.timeout(QUIET_S):
                 message = await read_message(reader)
@@ -333,22 +334,3 @@
     return msg.StoreChanges(
         int(update.kind), update.since, update.as_of, packed, update.whole
     )
-
-
-def _check_hello(hello: msg.Message) -> HostInfo:
-    if not isinstance(hello, msg.Hello):
-        raise FrameError("bad-hello", "expected a hello first")
-    if hello.protocol != PROTOCOL:
-        raise FrameError("bad-protocol", f"expected {PROTOCOL}, {hello.protocol}")
-    names = (hello.host_id, hello.region, hello.failure_domain)
-    if not all(is_name(name) for name in names):
-        raise FrameError("bad-hello", "expected names for host, region, domain")
-    if not (is_address(hello.entry) and is_address(hello.peer)):
-        raise FrameError("bad-hello", "expected addresses like 127.0.0.1:8080")
-    return HostInfo(
-        hello.host_id,
-        hello.region,
-        hello.failure_domain,
-        hello.entry,
-        hello.peer,
-    )
--- a/lacewingcross/gateway/reply.py
+++ b/lacewingcross/gateway/reply.py
@@ -6,13 +6,12 @@
 from .. import headers as hd
 from .. import logs
 from ..http1_exchange import Exchange
+from ..http1_json import JSON_TYPE
 from ..platform import headers as ph
 from .attempt import Answer, AttemptRun
 from .context import Gateway
 from .forwarding import answer_for_caller
 
-JSON_TYPE = (b"content-type", b"application/json")
-
 
 @dataclass(slots=True, frozen=True)
 class Final:
@@ -90,7 +89,7 @@
         if self._exchange.started:
             self._exchange.abort()
             return
-        fields = [JSON_TYPE]
+        fields = [*JSON_TYPE]
         if self.request_id:
             fields.append((ph.REQUEST_ID, self.request_id.encode("latin-1")))
         if final.retry_after_s:
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -168,8 +168,8 @@
             if verdict in (Verdict.DONE, Verdict.ABORT) or self._gone:
                 return None
             if verdict is Verdict.REFUSE:
-                pause = steering.placement.usual_latency(self._service)
-                return Final(503, self._last, pause * steering.rng.uniform(0.5, 1.5))
+                pause_s = steering.placement.pause(self._service)
+                return Final(503, self._last, pause_s)
             if verdict is Verdict.UNKNOWN:
                 return Final(502, self._last)
 
--- /dev/null
+++ b/lacewingcross/greeting.py
@@ -0,0 +1,33 @@
+"""The first message between hosts, checked."""
+
+from .checks import is_address, is_name
+from .core import messages as msg
+from .core.membership import HostInfo
+from .errors import FrameError
+from .wire import PROTOCOL
+
+
+def host_of(hello: msg.Message) -> HostInfo:
+    """Return the host that speaks in a hello.
+
+    Raises
+    ------
+    FrameError
+        With code ``bad-hello`` or ``bad-protocol``.
+    """
+    if not isinstance(hello, msg.Hello):
+        raise FrameError("bad-hello", "expected a hello first")
+    if hello.protocol != PROTOCOL:
+        raise FrameError("bad-protocol", f"expected {PROTOCOL}, {hello.protocol}")
+    names = (hello.host_id, hello.region, hello.failure_domain)
+    if not all(is_name(name) for name in names):
+        raise FrameError("bad-hello", "expected names for host, region, domain")
+    if not (is_address(hello.entry) and is_address(hello.peer)):
+        raise FrameError("bad-hello", "expected addresses like 127.0.0.1:8080")
+    return HostInfo(
+        hello.host_id,
+        hello.region,
+        hello.failure_domain,
+        hello.entry,
+        hello.peer,
+    )
--- a/lacewingcross/host/mesh/links.py
+++ b/lacewingcross/host/mesh/links.py
@@ -4,13 +4,14 @@
 import ssl as ssl_module
 
 from ... import logs
-from ...checks import is_address, is_name, split_address
+from ...checks import split_address
 from ...core import messages as msg
 from ...core.actions import SendPeer
 from ...core.events import PeerBroken, PeerConnected, PeerMessage
 from ...core.membership import HostInfo
 from ...errors import FrameError
 from ...frame_queue import FrameQueue
+from ...greeting import host_of
 from ...tls import peer_name
 from ...wire import PROTOCOL, encode, read_message
 from ..runtime import Runtime
@@ -209,15 +210,9 @@
         try:
             async with asyncio.timeout(HELLO_S):
                 hello = await read_message(reader)
-            self._check_hello(hello)
+            info = host_of(hello)
+            self._check_other(info)
             self._check_name(hello, writer.get_extra_info("ssl_object"))
-            info = HostInfo(
-                hello.host_id,
-                hello.region,
-                hello.failure_domain,
-                hello.entry,
-                hello.peer,
-            )
             self.runtime.dispatch(PeerConnected(info, hello.incarnation))
             while True:
                 message = await read_message(reader)
@@ -248,15 +243,6 @@
         if name != hello.host_id:
             raise FrameError("bad-hello", f"certificate of {name!r}, not this host")
 
-    def _check_hello(self, hello: msg.Message) -> None:
-        if not isinstance(hello, msg.Hello):
-            raise FrameError("bad-hello", "expected a hello first")
-        if hello.protocol != PROTOCOL:
-            raise FrameError("bad-protocol", f"expected {PROTOCOL}, {hello.protocol}")
-        names = (hello.host_id, hello.region, hello.failure_domain)
-        if not all(is_name(name) for name in names):
-            raise FrameError("bad-hello", "expected names for host, region, domain")
-        if not (is_address(hello.entry) and is_address(hello.peer)):
-            raise FrameError("bad-hello", "expected addresses like 127.0.0.1:8080")
-        if hello.host_id == self.runtime.core.view.own.host_id:
+    def _check_other(self, info: HostInfo) -> None:
+        if info.host_id == self.runtime.core.view.own.host_id:
             raise FrameError("bad-hello", "another process uses this host's id")
--- a/lacewingcross/logs.py
+++ b/lacewingcross/logs.py
@@ -5,6 +5,8 @@
 import signal
 import sys
 from collections import deque
+from collections.abc import Callable
+from typing import TextIO
 
 from loguru import logger
 
@@ -33,10 +35,16 @@
     **context : object
         Pairs added to every line, such as the host's id.
     """
+    logger.remove()
+    _add(sys.stderr, level, context)
+
+
+def _add(
+    sink: TextIO | Callable[[str], None], level: str, context: dict[str, object]
+) -> None:
     prefix = "".join(f" {key}={_format_value(val)}" for key, val in context.items())
     form = "ts={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level}" + prefix + " {message}"
-    logger.remove()
-    logger.add(sys.stderr, level=level, format=form, colorize=False, catch=True)
+    logger.add(sink, level=level, format=form, colorize=False, catch=True)
 
 
 class BoundedOutput:
@@ -85,7 +93,7 @@
     def _flush_again(self) -> None:
         self._scheduled = False
         self.flush()
-        if (self._rest or self._lines) and not self._scheduled:
+        if self._rest or self._lines:
             self._scheduled = True
             asyncio.get_running_loop().call_later(FLUSH_S, self._flush_again)
 
@@ -120,11 +128,9 @@
 
 def setup_stdout(level: str = "INFO", **context: object) -> BoundedOutput:
     """Send events at or above `level` to standard output, without waiting for it."""
-    prefix = "".join(f" {key}={_format_value(val)}" for key, val in context.items())
-    form = "ts={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level}" + prefix + " {message}"
     output = BoundedOutput(sys.stdout.fileno())
     logger.remove()
-    logger.add(output.write, level=level, format=form, colorize=False, catch=True)
+    _add(output.write, level, context)
     return output
 
 
--- a/lacewingcross/platform/directory.py
+++ b/lacewingcross/platform/directory.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qs
 
-JSON_TYPE = (b"content-type", b"application/json")
 READINESS_PATH = "/v1/readiness"
 LOOKUP_PATH = "/v1/resolve"
 
--- a/lacewingcross/platform/headers.py
+++ b/lacewingcross/platform/headers.py
@@ -6,10 +6,8 @@
 REMAINING_MS = b"x-lacewingcross-request-deadline"
 # Id of the incarnation that may run the request; any other answers 421.
 EXPECTED_INCARNATION = b"x-lacewingcross-expected-instance"
-INCARNATION = b"x-lacewingcross-instance-id"
 # Present when a backend server says that it did not run the request.
 NOT_RUN = b"x-lacewingcross-not-executed"
 SIGNATURE = b"x-lacewingcross-response-signature"
 # "running,waiting,slots"
 LOAD = b"x-lacewingcross-server-load"
-COLD_REMAINING_MS = b"x-lacewingcross-cold-remaining-ms"
--- a/lacewingcross/platform/objects.py
+++ b/lacewingcross/platform/objects.py
@@ -57,7 +57,6 @@
         host_name=data["host"].lower(),
         prefix=data["path_prefix"],
         repeatable=data["route_type"] == "safe",
-        upload=data["route_type"] == "upload",
         parts=parts,
         timeout_s=float(data["timeout_s"]),
         target_s=float(data.get("target_latency_s") or data["timeout_s"]),
--- a/lacewingcross/platform/store.py
+++ b/lacewingcross/platform/store.py
@@ -11,12 +11,12 @@
 from ..core.replica import Document, Kind, Update
 from ..errors import PlatformError
 from ..http1_client import HttpClient, HttpError, Response
+from ..http1_json import JSON_TYPE
 from .objects import CONFIG_NAME, HOSTS_PATH, KIND_PATHS
 
 # A store that is only slow answers in a few hundred milliseconds; a longer silence is
 # taken for an outage, so that another source is asked in time.
 CALL_TIMEOUT_S = 1.0
-JSON_TYPE = [(b"content-type", b"application/json")]
 _ERROR_CODES = {
     400: "bad-request",
     404: "not-found",
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -15,7 +15,6 @@
         host_name=host_name,
         prefix=prefix,
         repeatable=True,
-        upload=False,
         parts=(Part("calendar", 1.0),),
         timeout_s=1.0,
         target_s=0.2,
