One host of the fleet follows the store; the others step in by what they were told

Besides, the host that stepped in went by the age of its own reading, so it paused after each watch, and an answer to a pull from an old copy counted as word from the store. Ruled out: watches of several kinds in one call (the store has none); stale watches (may be seconds late, a change has 2.5 s). Change: hosts are ranked over the fleet, those that start, leave or are turned away last; core/watching.py decides by what a host was told; only what the store just said counts as its word. The list of hosts is read stale after the first time. test_roster: the test of ranks left its hosts 'starting', which its peers denied; it now says what it meant, the assertion is as it was.

--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -195,10 +195,12 @@
 class Alive:
     """The sender lives, and what it has in flight at servers of the receiver's region.
 
-    `counts` holds server ids and requests; a server that is missing has none.
+    `turned_away` says that the store does not answer the sender; `counts` holds server
+    ids and requests, a server that is missing has none.
     """
 
     leaving: bool
+    turned_away: bool
     counts: list[tuple[str, int]]
 
 
@@ -207,7 +209,8 @@
     """Everything of one kind that changed in the store between two revisions.
 
     Each document is its name, its revision and its JSON text, empty when deleted. If
-    `whole`, the documents are all that exist.
+    `whole`, the documents are all that exist. `fresh` tells that the sender has just
+    had this from the store; an answer to a pull may be as old as its sender's copy.
     """
 
     kind: int
@@ -215,6 +218,7 @@
     as_of: int
     documents: list[tuple[str, int, str]]
     whole: bool
+    fresh: bool
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/roster.py
+++ b/lacewingcross/core/roster.py
@@ -32,6 +32,7 @@
     heard_at: float = float("-inf")
     incarnation: int = 0
     leaving: bool = False
+    turned_away: bool = False
 
     def live(self, now: float) -> bool:
         """Tell whether the host has spoken lately."""
@@ -51,13 +52,14 @@
         This host.
     """
 
-    __slots__ = ("entries", "leaving", "listed", "own", "starting")
+    __slots__ = ("entries", "leaving", "listed", "own", "starting", "turned_away")
 
     def __init__(self, own: HostInfo) -> None:
         self.own = own
         self.leaving = False
         self.listed = False
         self.starting = True
+        self.turned_away = False
         self.entries: dict[str, Entry] = {}
 
     @property
@@ -83,7 +85,13 @@
         return True
 
     def heard(
-        self, info: HostInfo, incarnation: int, now: float, *, leaving: bool
+        self,
+        info: HostInfo,
+        incarnation: int,
+        now: float,
+        *,
+        leaving: bool,
+        turned_away: bool = False,
     ) -> None:
         """Note that a host has spoken itself."""
         known = self.entries.get(info.host_id)
@@ -93,6 +101,7 @@
         known.heard_at = now
         known.incarnation = incarnation
         known.leaving = leaving
+        known.turned_away = turned_away
 
     def forget_silent(self, now: float) -> list[str]:
         """Drop hosts that have given no sign for long; return their ids."""
@@ -122,11 +131,19 @@
         return known if self.listed else max(known, HOSTS_UNLISTED)
 
     def rank(self, now: float) -> int:
-        """Return this host's place among the live hosts of its region, 0 first."""
-        here = [
-            info.host_id for info in self.live(now) if info.region == self.own.region
-        ]
-        return ranked("store-watcher", here).index(self.own.host_id)
+        """Return this host's place among those that may follow the store, 0 first.
+
+        Hosts that start or leave, or that the store turns away, come last: they are
+        able to follow it only if nobody else is.
+        """
+        poor = {
+            host_id: entry.leaving or entry.turned_away
+            for host_id, entry in self.entries.items()
+            if entry.live(now)
+        }
+        poor[self.own.host_id] = self.out or self.turned_away
+        order = sorted(ranked("store-follower", poor), key=poor.__getitem__)
+        return order.index(self.own.host_id)
 
     def addresses_for(
         self, region: str, homes: frozenset[str], now: float
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -15,8 +15,9 @@
 # its return; a little more covers the way of the news. In seconds.
 LAPSE_GRACE_S = 2.2
 # No word from the store for this long, in seconds, counts as an outage in which entries
-# may have lapsed: half of the time after which the store drops a silent server.
-OUTAGE_S = 2.0
+# may have lapsed: half of the time after which the store drops a silent server, and
+# longer than any host waits before it asks the store itself (`PATIENCE_MAX_S`).
+OUTAGE_S = 2.3
 # Share of the common retry allowance that is used. The rest covers hosts that start
 # again with a full allowance of their own.
 RETRY_MARGIN = 0.75
@@ -102,13 +103,23 @@
 
     # The store
 
-    def take(self, update: Update, now: float) -> list[Document]:
-        """Take in what the store or a peer says; return what was new."""
-        fresh = self.replica.apply(update)
-        if self.replica.as_of(update.kind) >= update.as_of:
+    def take(self, update: Update, now: float, *, fresh: bool = True) -> list[Document]:
+        """Take in what the store or a peer says; return what was new.
+
+        Parameters
+        ----------
+        update : Update
+            What was said.
+        now : float
+            Monotonic time in seconds.
+        fresh : bool
+            Whether the store itself has said so just now. A peer's copy may be old.
+        """
+        changed = self.replica.apply(update)
+        if fresh and self.replica.as_of(update.kind) >= update.as_of:
             self._confirm(update.kind, now)
-        self._apply(fresh, now)
-        return fresh
+        self._apply(changed, now)
+        return changed
 
     def store_age(self, now: float) -> float:
         """Return for how long there was no word of some kind from the store."""
--- /dev/null
+++ b/lacewingcross/core/watching.py
@@ -0,0 +1,85 @@
+"""Whether this host follows the store itself or hears of it from another one.
+
+Every call of the store is paid for, a waiting watch as one, so a single host follows
+it and tells all others, also that nothing has changed. The others step in by
+themselves when nobody has told them anything for longer than they can afford: what
+operators write must be in force everywhere within 2.5 s, also at a host that the
+others cannot reach.
+"""
+
+from .replica import Kind
+
+# How long a watch waits for a change, in seconds; every return is told to all hosts as
+# a sign of life. Longer ones would be cheaper, but the silence of a follower that died
+# has to be noticed well within the time that a change may take.
+WATCH_WAIT_S = 1.0
+# The first watch of a host that steps in waits no longer than this, in seconds: the
+# others wait for its word, too, and must not all step in.
+FIRST_WAIT_S = 0.05
+# Silence after which the second-ranked host steps in, in seconds: one watch, and half a
+# second for a slow store (sixty times its usual 4 ms) and a packet that was lost.
+PATIENCE_S = 1.5
+# The hosts after it wait this much longer each, in seconds, so that one steps in and
+# not all: its word reaches the others within a way between regions (35 ms).
+PATIENCE_EACH_S = 0.1
+# Longest silence that any host bears, in seconds. A change made right after the last
+# word is then in force 2.1 s later.
+PATIENCE_MAX_S = 2.0
+# A host that the store turned away counts as unable to follow it for this long, in
+# seconds; then it may try again when its rank says so.
+TURNED_AWAY_S = 5.0
+
+
+class WatchDuty:
+    """Decides for each kind of object whether this host follows it now."""
+
+    __slots__ = ("_failed_at", "_told_at")
+
+    def __init__(self) -> None:
+        self._failed_at = float("-inf")
+        self._told_at: dict[Kind, float] = {}
+
+    def told(self, kind: Kind, now: float) -> None:
+        """Note that another host told all there is of a kind at this moment."""
+        self._told_at[kind] = now
+
+    def failed(self, now: float) -> None:
+        """Note that the store turned this host away, or did not answer."""
+        self._failed_at = now
+
+    def succeeded(self) -> None:
+        """Note that the store answered this host."""
+        self._failed_at = float("-inf")
+
+    def turned_away(self, now: float) -> bool:
+        """Tell whether other hosts should follow the store rather than this one."""
+        return now - self._failed_at < TURNED_AWAY_S
+
+    def mine(self, kind: Kind, rank: int, now: float) -> bool:
+        """Tell whether this host has to follow a kind itself.
+
+        Failure: the host that follows the store dies, is cut off or finds the store
+        deaf. The others hear nothing more and would keep an old configuration. Each
+        of them goes by what it was *told*, not by what it read itself, so one that
+        has stepped in goes on until somebody tells it something again.
+
+        Parameters
+        ----------
+        kind : Kind
+            What is followed.
+        rank : int
+            This host's place among those that may follow the store, 0 first.
+        now : float
+            Monotonic time in seconds.
+        """
+        if rank == 0:
+            return True
+        return self._silence(kind, now) > patience(rank)
+
+    def _silence(self, kind: Kind, now: float) -> float:
+        return now - self._told_at.get(kind, float("-inf"))
+
+
+def patience(rank: int) -> float:
+    """Return how long a host of this rank bears silence, in seconds."""
+    return min(PATIENCE_MAX_S, PATIENCE_S + (rank - 1) * PATIENCE_EACH_S)
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -143,6 +143,7 @@
         for host_id, entry in gateway.roster.entries.items():
             if not entry.live(now):
                 placement.set_peer_counts(host_id, {})
+        gateway.roster.turned_away = gateway.duty.turned_away(now)
         gateway.steering.hosts = 1 + len(gateway.roster.entries)
         placement.region_hosts = gateway.roster.region_size(gateway.cfg.region)
         if gateway.roster.starting and gateway.steering.ready():
--- a/lacewingcross/gateway/context.py
+++ b/lacewingcross/gateway/context.py
@@ -6,6 +6,7 @@
 from ..clock import Clock
 from ..core.roster import Roster
 from ..core.steering import Steering
+from ..core.watching import WatchDuty
 from ..metrics import Metrics
 from .backends import Backends
 from .settings import GatewaySettings
@@ -33,6 +34,7 @@
         "_numbers",
         "backends",
         "cfg",
+        "duty",
         "incarnation",
         "metrics",
         "roster",
@@ -50,6 +52,7 @@
         self.cfg = cfg
         self.steering = steering
         self.roster = roster
+        self.duty = WatchDuty()
         self.incarnation = incarnation
         self.metrics = Metrics()
         self.backends = Backends(
--- a/lacewingcross/gateway/following.py
+++ b/lacewingcross/gateway/following.py
@@ -1,23 +1,15 @@
-"""Follows the store: by own watches when it is this host's turn, else by peers."""
+"""Follows the store: by own watches when it is this host's duty, else by peers."""
 
 import asyncio
 from collections.abc import Callable
 
 from .. import logs
 from ..core.replica import Document, Kind, Update
+from ..core.watching import FIRST_WAIT_S, WATCH_WAIT_S
 from ..errors import PlatformError
 from ..platform.store import ObjectStore
 from .context import Gateway
 
-# How long a watch waits for a change, in seconds. Every return is a sign of life from
-# the store; a watch that is cut off silently is noticed after this and a call's
-# time-out. Calls are paid for, so it is as long as the promises allow.
-WATCH_WAIT_S = 1.0
-# Age of the newest word from the store at which a host watches for itself: one watch
-# and its way, and more for each better-ranked host that may step in first. In seconds.
-PATIENCE_S = 1.5
-PATIENCE_EACH_S = 0.25
-PATIENCE_MAX_S = 2.5
 # Pauses after a failed call, in seconds; refused calls are paid for too.
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.8
@@ -41,9 +33,10 @@
         Tells the other hosts of changes between two revisions of a kind.
     """
 
-    __slots__ = ("_gateway", "_lost", "_publish", "_store")
+    __slots__ = ("_duty", "_gateway", "_lost", "_publish", "_store")
 
     def __init__(self, gateway: Gateway, store: ObjectStore, publish: Publish) -> None:
+        self._duty = gateway.duty
         self._gateway = gateway
         self._store = store
         self._publish = publish
@@ -57,25 +50,24 @@
 
         return follow
 
-    def my_turn(self) -> bool:
-        """Tell whether this host has to watch the store itself."""
+    def _my_duty(self, kind: Kind) -> bool:
         now = self._gateway.now()
         rank = self._gateway.roster.rank(now)
-        if rank == 0:
-            return True
-        patience = min(PATIENCE_MAX_S, PATIENCE_S + rank * PATIENCE_EACH_S)
-        return self._gateway.steering.store_age(now) > patience
+        return self._duty.mine(kind, rank, now)
 
     async def _follow(self, kind: Kind) -> None:
         pause = RETRY_MIN_S
         listed = False
+        wait_s = FIRST_WAIT_S
         while True:
-            if listed and not self.my_turn():
+            if listed and not self._my_duty(kind):
+                wait_s = FIRST_WAIT_S
                 await asyncio.sleep(REVIEW_S)
                 continue
             try:
                 if listed:
-                    await self._watch(kind)
+                    await self._watch(kind, wait_s)
+                    wait_s = WATCH_WAIT_S
                 else:
                     await self._list(kind)
                     listed = True
@@ -90,7 +82,7 @@
                 spread = self._gateway.steering.rng.uniform(0.5, 1.0)
                 await asyncio.sleep(pause * spread)
                 pause = min(RETRY_MAX_S, pause * 2)
-                if not listed and not self.my_turn():
+                if not listed and not self._my_duty(kind):
                     # The peers have told all that the store would have.
                     listed = self._gateway.steering.replica.as_of(kind) > 0
 
@@ -98,9 +90,9 @@
         known_before = self._gateway.steering.replica.as_of(kind) > 0
         self._take(await self._store.read_all(kind), "listing", tell=known_before)
 
-    async def _watch(self, kind: Kind) -> None:
+    async def _watch(self, kind: Kind, wait_s: float) -> None:
         since = self._gateway.steering.replica.as_of(kind)
-        update = await self._store.watch(kind, since, WATCH_WAIT_S)
+        update = await self._store.watch(kind, since, wait_s)
         self._take(update, "watch", tell=True)
 
     def _take(self, update: Update, source: str, *, tell: bool) -> None:
@@ -117,6 +109,7 @@
 
     def _note_failure(self, kind: Kind, exc: PlatformError) -> None:
         self._gateway.metrics.count(f"store.{exc.code}")
+        self._duty.failed(self._gateway.now())
         if not self._lost:
             self._lost = True
             logs.event(
@@ -129,6 +122,7 @@
             )
 
     def _regained(self) -> None:
+        self._duty.succeeded()
         if self._lost:
             self._lost = False
             logs.event("store-regained")
@@ -188,13 +182,16 @@
         at least one finds the other, and its hello tells the other one.
         """
         named = False
+        listed = False
         pause = RETRY_MIN_S
         while True:
             try:
                 if not named:
                     await self._store.put_host(self._gateway.roster.own)
                     named = True
-                await self._read()
+                # Whoever was named after the first reading has said hello to this host.
+                await self._read(stale=listed)
+                listed = True
                 pause = RETRY_MIN_S
                 await asyncio.sleep(HOSTS_EVERY_S)
             except PlatformError as exc:
@@ -202,9 +199,9 @@
                 await asyncio.sleep(pause)
                 pause = min(RETRY_MAX_S, pause * 2)
 
-    async def _read(self) -> None:
+    async def _read(self, *, stale: bool) -> None:
         now = self._gateway.now()
-        for info in await self._store.hosts():
+        for info in await self._store.hosts(stale=stale):
             if self._gateway.roster.learn(info, now):
                 logs.event("host-learnt", host_id=info.host_id, peer=info.peer)
         self._gateway.roster.listed = True
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -127,12 +127,12 @@
             msg.StorePull(int(kind), gateway.steering.replica.as_of(kind))
             for kind in Kind
         ]
-        alive = msg.Alive(gateway.roster.out, [])
+        alive = msg.Alive(gateway.roster.out, gateway.roster.turned_away, [])
         return [hello, alive, msg.Members(known), *pulls]
 
     def publish(self, update: Update) -> None:
         """Tell all hosts of an update from the store."""
-        frame = encode(_changes(update))
+        frame = encode(_changes(update, fresh=True))
         for link in self._links.values():
             link.send_frame(frame)
 
@@ -152,13 +152,15 @@
                 counts[server.entry.server_id] = server.own
         frames: dict[str, bytes] = {}
         leaving = self.gateway.roster.out
+        turned_away = self.gateway.roster.turned_away
         for link in self._links.values():
             region = link.info.region
             counts = by_region.get(region, {})
             if counts == link.told and now - link.told_at < ALIVE_EVERY_S:
                 continue
             if region not in frames:
-                frames[region] = encode(msg.Alive(leaving, list(counts.items())))
+                alive = msg.Alive(leaving, turned_away, list(counts.items()))
+                frames[region] = encode(alive)
             link.told = counts
             link.told_at = now
             link.send_frame(frames[region])
@@ -283,7 +285,13 @@
                 incarnation=incarnation,
                 leaving=message.leaving,
             )
-        self.gateway.roster.heard(info, incarnation, now, leaving=message.leaving)
+        self.gateway.roster.heard(
+            info,
+            incarnation,
+            now,
+            leaving=message.leaving,
+            turned_away=message.turned_away,
+        )
         counts = Counter(dict(message.counts))
         self.gateway.steering.placement.set_peer_counts(info.host_id, counts)
 
@@ -296,8 +304,10 @@
             kind, message.since, message.as_of, documents, whole=message.whole
         )
         steering = self.gateway.steering
-        fresh = steering.take(update, now)
-        log_changes(self.gateway, update, fresh, info.host_id)
+        known = steering.take(update, now, fresh=message.fresh)
+        log_changes(self.gateway, update, known, info.host_id)
+        if message.fresh and steering.replica.as_of(kind) >= message.as_of:
+            self.gateway.duty.told(kind, now)
         if steering.replica.as_of(kind) < message.since:
             self._send_to(info, msg.StorePull(kind, steering.replica.as_of(kind)))
 
@@ -316,7 +326,8 @@
         kind = Kind(message.kind)
         replica = self.gateway.steering.replica
         if replica.as_of(kind) > message.above:
-            self._send_to(info, _changes(replica.update_since(kind, message.above)))
+            update = replica.update_since(kind, message.above)
+            self._send_to(info, _changes(update, fresh=False))
 
     def _send_to(self, info: HostInfo, message: msg.Message) -> None:
         link = self._links.get(info.host_id)
@@ -326,11 +337,11 @@
         link.send(message)
 
 
-def _changes(update: Update) -> msg.StoreChanges:
+def _changes(update: Update, *, fresh: bool) -> msg.StoreChanges:
     packed = [
         (doc.name, doc.revision, "" if doc.spec is None else json.dumps(doc.spec))
         for doc in update.documents
     ]
     return msg.StoreChanges(
-        int(update.kind), update.since, update.as_of, packed, update.whole
+        int(update.kind), update.since, update.as_of, packed, update.whole, fresh
     )
--- a/lacewingcross/platform/store.py
+++ b/lacewingcross/platform/store.py
@@ -75,12 +75,17 @@
         found = _relevant(kind, documents)
         return Update(kind, revision, int(data["as_of"]), found)
 
-    async def hosts(self) -> list[HostInfo]:
-        """Return the entry hosts that have named themselves."""
+    async def hosts(self, *, stale: bool = False) -> list[HostInfo]:
+        """Return the entry hosts that have named themselves.
+
+        A stale reading costs a tenth of the price and may be some seconds old.
+        """
         found: list[HostInfo] = []
         after = ""
         while True:
-            data = await self._get(HOSTS_PATH, after=after)
+            data = await self._get(
+                HOSTS_PATH, after=after, allow_stale="1" if stale else ""
+            )
             found += [_host(item["metadata"]["name"], item) for item in data["items"]]
             if not data.get("has_more"):
                 return found
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lacewingcross.core.replica import Kind
 from lacewingcross.gateway.settings import Bounds
 from tests.gateway_parts import (
     answer,
@@ -239,6 +240,72 @@
         await broken.close()
 
 
+def followers(apps, kind):
+    """Return the hosts that follow a kind in the store themselves."""
+    return [
+        app
+        for app in apps
+        if app.gateway.duty.mine(
+            kind, app.gateway.roster.rank(app.gateway.now()), app.gateway.now()
+        )
+    ]
+
+
+@in_loop
+async def test_one_host_of_all_regions_follows_the_store_for_the_others():
+    # Every call of the store is paid for, a waiting one too. Hosts that each follow
+    # three kinds would spend more on calls than on all their processor time.
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(answers_at_once)
+        apps = [await made.add_host(domain=domain) for domain in ("a1", "a2", "b1")]
+        for app in apps:
+            await made.ready(app)
+        for kind in Kind:
+            await until(lambda kind=kind: len(followers(apps, kind)) == 1)
+        made.configure(version=5)
+        for app in apps:
+            steering = app.gateway.steering
+            await until(lambda known=steering: known.table.config.version == 5)
+
+
+@in_loop
+async def test_another_host_steps_in_when_the_one_that_follows_the_store_dies():
+    # The host that follows the store loses power with all its streams open, and the
+    # operator changes the configuration. The others must not go on with the old one.
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(answers_at_once)
+        apps = [await made.add_host(domain=domain) for domain in ("a1", "a2", "b1")]
+        for app in apps:
+            await made.ready(app)
+        await until(lambda: len(followers(apps, Kind.CONFIG)) == 1)
+        dead = followers(apps, Kind.CONFIG)[0]
+        made.tasks[apps.index(dead)].cancel()
+        made.configure(version=5)
+        for app in apps:
+            if app is not dead:
+                steering = app.gateway.steering
+                await until(lambda known=steering: known.table.config.version == 5)
+
+
+@in_loop
+async def test_a_pull_from_another_hosts_copy_is_no_word_from_the_store():
+    # The store is away. A host that starts pulls from one whose copy is old; if that
+    # counted as word from the store, neither would notice how old their copies are.
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(answers_at_once)
+        near = await made.ready(await made.add_host())
+        made.store.faults.down = "reset"
+        nowhere = free_address()
+        late = await made.add_host(
+            domain="a2", platform=nowhere, seeds=[near.gateway.cfg.peer]
+        )
+        await made.ready(late)
+        assert late.gateway.steering.store_age(late.gateway.now()) == float("inf")
+
+
 @in_loop
 async def test_servers_whose_entries_lapsed_in_an_outage_are_kept_for_their_return():
     # The store is away for longer than entries live. At its return all of them are
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -57,6 +57,7 @@
     ranks = []
     for own in infos:
         made = Roster(own)
+        made.starting = False
         for other in infos:
             if other is not own:
                 made.heard(other, 1, 0.0, leaving=False)
@@ -66,6 +67,33 @@
     assert alone.rank(1.0) == 0
 
 
+def test_one_host_of_all_regions_ranks_first():
+    infos = [host(number, region) for number, region in enumerate("aabbcc")]
+    ranks = []
+    for own in infos:
+        made = Roster(own)
+        for other in infos:
+            if other is not own:
+                made.heard(other, 1, 0.0, leaving=True)
+        ranks.append(made.rank(1.0))
+    assert sorted(ranks) == [0, 1, 2, 3, 4, 5]
+
+
+def test_hosts_that_leave_or_cannot_reach_the_store_rank_last():
+    # The host that follows the store is stopped, or the store answers it 503 and serves
+    # the others. Whoever is next must take over before anyone has to fall silent.
+    infos = [host(number) for number in range(1, 4)]
+    made = roster(*infos)
+    made.heard(infos[0], 1, 0.0, leaving=True)
+    made.heard(infos[1], 1, 0.0, leaving=False, turned_away=True)
+    assert made.rank(1.0) <= 1
+    made.heard(infos[2], 1, 0.0, leaving=False, turned_away=True)
+    assert made.rank(1.0) == 0
+    made.turned_away = True
+    made.heard(infos[2], 1, 0.0, leaving=False)
+    assert made.rank(1.0) >= 1
+
+
 def test_what_the_store_says_does_not_replace_what_a_live_host_says_itself():
     made = roster(host(1))
     stale = HostInfo("host-1", "a", "a1", "10.9.9.9:1", "10.9.9.9:2")
--- /dev/null
+++ b/tests/test_watching.py
@@ -0,0 +1,69 @@
+"""Which host follows the store, and when the others step in."""
+
+from lacewingcross.core.replica import Kind
+from lacewingcross.core.watching import (
+    PATIENCE_MAX_S,
+    PATIENCE_S,
+    TURNED_AWAY_S,
+    WatchDuty,
+    patience,
+)
+
+# What operators write has to be in force everywhere within this, in seconds.
+IN_FORCE_S = 2.5
+
+
+def test_the_first_host_follows_the_store_and_the_others_listen():
+    duty = WatchDuty()
+    duty.told(Kind.CONFIG, 10.0)
+    assert duty.mine(Kind.CONFIG, 0, 10.5)
+    assert not duty.mine(Kind.CONFIG, 1, 10.0 + PATIENCE_S)
+
+
+def test_a_host_that_hears_nothing_of_one_kind_follows_that_kind():
+    # The host that follows the store finds one watch deaf: servers' changes still come,
+    # configuration does not.
+    duty = WatchDuty()
+    duty.told(Kind.CONFIG, 10.0)
+    duty.told(Kind.SERVER, 12.0)
+    assert duty.mine(Kind.CONFIG, 1, 12.0)
+    assert not duty.mine(Kind.SERVER, 1, 12.0)
+
+
+def test_hosts_step_in_one_after_the_other():
+    # The host that follows the store loses power. If all others asked the store at
+    # once, each outage of one host would cost a call a host.
+    assert [patience(rank) for rank in (1, 2, 3)] == [1.5, 1.6, 1.7]
+
+
+def test_a_host_that_is_cut_off_from_all_others_is_in_time():
+    # The last word came just before an operator's change, then the host was cut off.
+    # It has to see the change while it is still allowed to be unaware of it.
+    duty = WatchDuty()
+    duty.told(Kind.CONFIG, 10.0)
+    for rank in (1, 5, 4500):
+        assert duty.mine(Kind.CONFIG, rank, 10.0 + PATIENCE_MAX_S + 0.01)
+    assert PATIENCE_MAX_S + 0.3 < IN_FORCE_S
+
+
+def test_a_host_that_has_stepped_in_goes_on_until_somebody_tells_it_something():
+    # Whoever is first is deaf for the whole outage. Going by the age of its own
+    # reading, the host would pause after each watch and see changes two seconds late.
+    duty = WatchDuty()
+    duty.told(Kind.CONFIG, 10.0)
+    duty.succeeded()
+    assert duty.mine(Kind.CONFIG, 1, 12.0)
+    assert duty.mine(Kind.CONFIG, 1, 13.0)
+    duty.told(Kind.CONFIG, 13.1)
+    assert not duty.mine(Kind.CONFIG, 1, 13.2)
+
+
+def test_a_host_that_the_store_turns_away_says_so_for_a_while():
+    duty = WatchDuty()
+    assert not duty.turned_away(10.0)
+    duty.failed(10.0)
+    assert duty.turned_away(10.0 + TURNED_AWAY_S / 2)
+    assert not duty.turned_away(10.0 + TURNED_AWAY_S)
+    duty.failed(20.0)
+    duty.succeeded()
+    assert not duty.turned_away(20.0)
