A fault soak: entry hosts as processes, faults from outside, promises checked

Real gateway processes behind loopback proxies towards callers, store and each other; store and backend servers in the soak's process, which sees every run and answer. Faults are drawn from a seed and come in series that overlap. The checks are plain code over what was seen (bench/soak/ledger.py), each with a test that breaks the promise. peer_listen lets a proxy stand before a host's port for other hosts.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format bench bench-slopes clean
+.PHONY: demo test lint format bench bench-slopes soak clean
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -32,5 +32,9 @@
 	$(BIN)/python -m bench.slopes
 	$(BIN)/python -m bench.capacity
 
+MINUTES ?= 5
+soak: $(STAMP)
+	$(BIN)/python -m bench.soak --minutes $(MINUTES)
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: entry hosts as real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,133 @@
+"""One seeded run of the soak, and its report."""
+
+import asyncio
+import random
+import tempfile
+from collections import Counter
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from .callers import Callers
+from .faults import strike
+from .ledger import Broken, Ledger
+from .schedule import Fault, draw
+from .world import World
+
+# Seconds of calm after the last fault: entries that lapsed are back within two, hosts
+# that start are ready in one.
+SETTLE_S = 4.0
+CALM_END_S = 3.0
+# The hosts read the store and find each other before the first request, in seconds.
+LEAD_S = 2.5
+
+
+@dataclass(slots=True, frozen=True)
+class Size:
+    """How large a run is; `faults_per_s` on average, `length_s` of their beginnings."""
+
+    hosts: int = 5
+    servers: int = 12
+    callers: int = 24
+    length_s: float = 15.0
+    faults_per_s: float = 1.2
+
+
+USUAL = Size()
+
+
+@dataclass(slots=True)
+class Result:
+    """What one run showed."""
+
+    seed: int
+    size: Size
+    faults: list[Fault]
+    broken: list[Broken]
+    outcomes: dict[str, int]
+    unjudged: int
+    series: list[tuple[int, int, int, int]]
+
+    def as_data(self) -> dict:
+        """Return the result for a JSON file."""
+        return {
+            "seed": self.seed,
+            "size": asdict(self.size),
+            "faults": [asdict(fault) for fault in self.faults],
+            "broken": [asdict(item) for item in self.broken],
+            "outcomes": self.outcomes,
+            "unjudged": self.unjudged,
+            "series": self.series,
+        }
+
+    def describe(self) -> str:
+        """Return the report of the run for people."""
+        verdict = f"{len(self.broken)} BROKEN" if self.broken else "kept"
+        outcomes = ", ".join(f"{name} {n}" for name, n in sorted(self.outcomes.items()))
+        lines = [
+            f"seed {self.seed}: {verdict}; {len(self.faults)} faults; {outcomes}; "
+            f"{self.unjudged} time bounds not judged"
+        ]
+        for item in self.broken[:20]:
+            lines.append(f"  {item.rule} at {item.at:.2f} s: {item.what}")
+        if self.broken:
+            lines += ["  faults:", *(f"  {fault.describe()}" for fault in self.faults)]
+        return "\n".join(lines)
+
+
+async def play(seed: int, size: Size, directory: Path) -> Result:
+    """Play one run; logs and settings of the hosts go to `directory`."""
+    rng = random.Random(seed)
+    faults = draw(seed, size.length_s, size.faults_per_s)
+    world = World(directory, rng)
+    await world.start(size.hosts, size.servers)
+    callers = []
+    try:
+        await asyncio.sleep(LEAD_S)
+        callers = Callers(world, rng).tasks(size.callers)
+        await strike(world, faults)
+        await asyncio.sleep(SETTLE_S)
+        world.ledger.calm_from = world.now()
+        await asyncio.sleep(CALM_END_S)
+        world.ledger.calm_to = world.now() - 1.0
+    finally:
+        for task in callers:
+            task.cancel()
+        ends = await asyncio.gather(*callers, return_exceptions=True)
+        await world.stop()
+    for end in ends:
+        if not isinstance(end, asyncio.CancelledError):
+            raise end
+    return _result(seed, size, faults, world.ledger)
+
+
+def _result(seed: int, size: Size, faults: list[Fault], ledger: Ledger) -> Result:
+    outcomes = Counter(reply.why or str(reply.status) for reply in ledger.replies)
+    return Result(
+        seed,
+        size,
+        faults,
+        ledger.broken(),
+        dict(outcomes),
+        ledger.unjudged,
+        _series(ledger),
+    )
+
+
+def _series(ledger: Ledger) -> list[tuple[int, int, int, int]]:
+    """Return second, served, refused and failed of each second."""
+    seconds: dict[int, list[int]] = {}
+    for reply in ledger.replies:
+        row = seconds.setdefault(int(reply.at), [0, 0, 0])
+        refused = reply.status in (429, 503)
+        served = 200 <= reply.status < 300
+        row[0 if served else 1 if refused else 2] += 1
+    return [(second, *row) for second, row in sorted(seconds.items())]
+
+
+def play_in(seed: int, size: Size, keep: Path | None = None) -> Result:
+    """Play one run in a directory that is kept, or else removed at the end."""
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+        return asyncio.run(play(seed, size, keep))
+    with tempfile.TemporaryDirectory() as path:
+        return asyncio.run(play(seed, size, Path(path)))
--- /dev/null
+++ b/bench/soak/schedule.py
@@ -0,0 +1,99 @@
+"""Draws from a seed which faults strike whom and when; they come in series."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+# Seconds of calm traffic before the first fault, so that all promises are in touch.
+CALM_S = 3.0
+# Longest time that one fault lasts, in seconds: longer than the store keeps a silent
+# server's entry (4.5 s) and than any host's patience.
+LONGEST_S = 6.0
+
+HOST_KINDS = (
+    "host-kill",
+    "host-power",
+    "host-term",
+    "host-pause",
+    "host-hup",
+    "store-path-cut",
+    "store-path-one-way",
+    "store-path-delay",
+    "peer-path-cut",
+    "peer-path-one-way",
+    "peer-path-reset",
+    "caller-path-delay",
+    "caller-path-reset",
+)
+SERVER_KINDS = (
+    "server-crash",
+    "server-dark",
+    "server-drain",
+    "server-reuse",
+    "server-lost-answers",
+    "server-garble",
+    "server-slow",
+    "server-shed",
+)
+FLEET_KINDS = (
+    "store-busy",
+    "store-many",
+    "store-reset",
+    "store-silent",
+    "store-slow",
+    "store-lost-writes",
+    "store-compact",
+    "evacuate",
+    "change",
+    "change",
+    "change",
+    "kill-all",
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """One fault: what, when (seconds from the first request), whom, for how long.
+
+    `target` is the number of a host or server, modulo how many there are.
+    """
+
+    at: float
+    kind: str
+    target: int
+    for_s: float
+
+    def describe(self) -> str:
+        """Return one line for people."""
+        return f"{self.at:6.2f} s {self.kind} #{self.target} for {self.for_s:.1f} s"
+
+
+def draw(seed: int, length_s: float, per_s: float) -> list[Fault]:
+    """Return the faults of one run, in order.
+
+    Parameters
+    ----------
+    seed : int
+        The same seed gives the same faults.
+    length_s : float
+        Seconds in which faults may begin.
+    per_s : float
+        Faults a second, on average.
+    """
+    rng = random.Random(seed)
+    return sorted(_series(rng, length_s, per_s), key=lambda fault: fault.at)
+
+
+def _series(rng: random.Random, length_s: float, per_s: float) -> Iterator[Fault]:
+    """Yield single faults and series of one kind that overlap."""
+    most = max(1, round(length_s * per_s))
+    drawn = 0
+    while drawn < most:
+        kind = rng.choice(rng.choice((HOST_KINDS, SERVER_KINDS, FLEET_KINDS)))
+        at = CALM_S + rng.uniform(0.0, length_s)
+        gap_s = rng.choice((0.0, 0.05, 0.4, 1.5))
+        for step in range(rng.choice((1, 1, 1, 2, 3))):
+            target = rng.randrange(1 << 16)
+            for_s = rng.uniform(0.3, LONGEST_S)
+            yield Fault(at + step * gap_s, kind, target, for_s)
+            drawn += 1
--- /dev/null
+++ b/bench/soak/servers.py
@@ -0,0 +1,154 @@
+"""Backend servers of the soak, as the users' pages describe them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lacewingcross import headers as hd
+from lacewingcross.http1_exchange import CallerGoneError, Exchange
+from lacewingcross.http1_json import read_body
+from lacewingcross.http1_server import HttpServer
+from lacewingcross.platform import headers as ph
+
+from .ledger import Ledger, Run, signature
+
+SLOTS = 4
+# Requests that wait for a slot, as many times the slots as the users' servers keep.
+QUEUE = 3 * SLOTS
+WORK_S = 0.06
+MAX_BODY = 1 << 20
+PADDING = 300
+# A dark server answers nothing for longer than any run lasts, in seconds.
+DARK_S = 600.0
+
+
+@dataclass(slots=True)
+class Mood:
+    """What a server does wrong; shares of its answers, 0 to 1."""
+
+    slow: float = 1.0
+    lost: float = 0.0
+    garbled: float = 0.0
+    shed: bool = False
+    dark: bool = False
+
+
+@dataclass(slots=True)
+class SoakServer:
+    """One incarnation of a backend server.
+
+    Parameters
+    ----------
+    server_id, service, domain : str
+        Who it is and where.
+    ledger : Ledger
+        Where its runs are noted.
+    rng : random.Random
+        Source of its faults.
+    now : callable
+        Monotonic clock in seconds.
+    """
+
+    server_id: str
+    service: str
+    domain: str
+    ledger: Ledger
+    rng: random.Random
+    now: Callable[[], float]
+    mood: Mood = field(default_factory=Mood)
+    address: str = ""
+    leaving: bool = False
+    _busy: int = 0
+    _waiting: int = 0
+    _slots: asyncio.Semaphore = field(
+        default_factory=lambda: asyncio.Semaphore(SLOTS), repr=False
+    )
+    _server: HttpServer | None = None
+
+    async def start(self, address: str = "127.0.0.1:0") -> None:
+        """Listen; a server may take over an address that another one had."""
+        host, _, port = address.rpartition(":")
+        self._server = HttpServer(self._handle, self.now)
+        port = await self._server.start(host, int(port))
+        self.address = f"{host}:{port}"
+        self.ledger.domain_of[self.server_id] = self.domain
+
+    async def stop(self) -> None:
+        """Stop at once, as a crash does."""
+        await self._server.close()
+
+    def entry(self) -> dict:
+        """Return what the server writes of itself into the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.domain,
+            "version": "v1",
+            "slots": SLOTS,
+            "state": "draining" if self.leaving else "ready",
+            "cold_left_s": 0,
+            "seq": 1,
+        }
+
+    async def _handle(self, exchange: Exchange) -> None:
+        headers = exchange.head.headers
+        request_id = hd.find(headers, ph.REQUEST_ID)
+        self.ledger.arrivals.append((self.now(), self.service, request_id))
+        if self.mood.dark:
+            await asyncio.sleep(DARK_S)
+        expected = hd.find(headers, ph.EXPECTED_INCARNATION)
+        if expected and expected != self.server_id:
+            await self._refuse(exchange, 421)
+            return
+        body = await read_body(exchange, MAX_BODY)
+        if self.mood.shed or (self._slots.locked() and self._waiting >= QUEUE):
+            await self._refuse(exchange, 503)
+            return
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            await self._run(exchange, request_id, body)
+        finally:
+            self._slots.release()
+
+    async def _refuse(self, exchange: Exchange, status: int) -> None:
+        await exchange.respond(status, [(ph.NOT_RUN, b"1")], b"")
+
+    async def _run(self, exchange: Exchange, request_id: str, body: bytes) -> None:
+        if exchange.gone:
+            raise CallerGoneError
+        run = Run(request_id, self.server_id, exchange.head.target, body, self.now())
+        self.ledger.runs[request_id].append(run)
+        self._busy += 1
+        try:
+            spread = self.rng.uniform(0.5, 1.5)
+            await asyncio.sleep(WORK_S * self.mood.slow * spread)
+        finally:
+            self._busy -= 1
+        if self.rng.random() < self.mood.lost:
+            exchange.abort()
+            return
+        await self._answer(exchange, request_id)
+
+    async def _answer(self, exchange: Exchange, request_id: str) -> None:
+        body = f"{self.service} {request_id} ".encode() + b"x" * PADDING
+        signed = signature(self.server_id, request_id, 200, body)
+        load = f"{self._busy},{self._waiting},{SLOTS}"
+        fields = [
+            (ph.REQUEST_ID, request_id.encode()),
+            (ph.SIGNATURE, signed.encode()),
+            (ph.LOAD, load.encode()),
+        ]
+        if self.rng.random() < 0.5:
+            fields.append((hd.CONTENT_LENGTH, str(len(body)).encode()))
+        await exchange.send_head(200, fields)
+        if self.rng.random() < self.mood.garbled:
+            await exchange.send_body(body[: len(body) // 2])
+            exchange.abort()
+            return
+        await exchange.send_body(body)
+        exchange.finish()
--- /dev/null
+++ b/bench/soak/world.py
@@ -0,0 +1,299 @@
+"""The soak's world: store, servers and proxies here, entry hosts as processes."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from lacewingcross.gateway.settings import GatewaySettings
+from lacewingcross.standins.object_store import ObjectStoreStandin
+
+from .ledger import Ledger
+from .proxy import FaultyProxy, Harm
+from .servers import Mood, SoakServer
+
+HOST_NAME = "a.example"
+REGION_OF = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+DOMAINS = tuple(REGION_OF)
+BOUNDS = {"drain_s": 2.5, "grace_s": 6, "config_apply_s": 2.5, "evacuation_s": 5}
+# Entries of silent servers go after three heartbeats, as on the users' platform.
+HEARTBEAT_S = 1.5
+LAPSE_S = 3 * HEARTBEAT_S
+# The users' platform starts an ended process again after a short delay, in seconds.
+RESTART_S = 0.4
+# After a leaving server's report was accepted it serves on for this long, in seconds.
+SERVES_ON_S = 3.5
+TICK_S = 0.05
+
+
+def free_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+@dataclass(slots=True)
+class Host:
+    """One entry host: its process, and the proxies before and behind it."""
+
+    number: int
+    cfg: GatewaySettings
+    callers: FaultyProxy
+    store: FaultyProxy
+    peers: FaultyProxy
+    settings: Path
+    incarnation: int = 0
+    wanted: bool = True
+    proc: subprocess.Popen | None = None
+    log: object = None
+
+
+@dataclass(slots=True)
+class World:
+    """Everything around the callers of one run.
+
+    Parameters
+    ----------
+    directory : Path
+        Where settings and logs of the hosts go.
+    rng : random.Random
+        Source of what servers do.
+    """
+
+    directory: Path
+    rng: random.Random
+    ledger: Ledger = field(default_factory=Ledger)
+    hosts: list[Host] = field(default_factory=list)
+    servers: list[SoakServer] = field(default_factory=list)
+    by_entry: dict[str, int] = field(default_factory=dict)
+    version: int = 0
+    store: ObjectStoreStandin | None = None
+    _began: float = field(default_factory=time.monotonic)
+    _made: int = 0
+    _beats: dict[str, float] = field(default_factory=dict)
+    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def now(self) -> float:
+        """Return seconds since the world began."""
+        return time.monotonic() - self._began
+
+    # Start and end
+
+    async def start(self, hosts: int, servers: int) -> None:
+        """Start the store, the servers and the hosts."""
+        self.store = ObjectStoreStandin(time.monotonic)
+        port = await self.store.start()
+        self.change()
+        for number in range(servers):
+            service = ("calendar", "booking")[number % 2]
+            await self.add_server(service, DOMAINS[number // 2 % len(DOMAINS)])
+        for number in range(hosts):
+            await self._add_host(number, f"127.0.0.1:{port}")
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._keep_running()),
+            loop.create_task(self._keep_entries()),
+            loop.create_task(self._watch_own_lag()),
+        ]
+
+    async def stop(self) -> None:
+        """End what was started, by its own ids."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for host in self.hosts:
+            host.wanted = False
+            self.signal(host, signal.SIGCONT)
+            host.proc.kill()
+            host.proc.wait()
+            host.log.close()
+            for proxy in (host.callers, host.store, host.peers):
+                await proxy.close()
+        for server in self.servers:
+            await server.stop()
+        await self.store.close()
+
+    async def _add_host(self, number: int, platform: str) -> None:
+        domain = DOMAINS[number % len(DOMAINS)]
+        address = [f"127.0.0.1:{free_port()}" for _ in range(5)]
+        entry, readiness, peer_listen, directory, metrics = address
+        callers = FaultyProxy("127.0.0.1:0", entry)
+        store = FaultyProxy("127.0.0.1:0", platform)
+        peers = FaultyProxy("127.0.0.1:0", peer_listen)
+        for proxy in (callers, store, peers):
+            await proxy.start()
+        cfg = GatewaySettings(
+            host_id=f"host-{number}",
+            region=REGION_OF[domain],
+            failure_domain=domain,
+            region_of=REGION_OF,
+            entry=entry,
+            readiness=readiness,
+            peer=peers.listen,
+            peer_listen=peer_listen,
+            directory=directory,
+            platform=store.listen,
+            seeds=tuple(host.cfg.peer for host in self.hosts[:3]),
+            metrics_port=int(metrics.rpartition(":")[2]),
+        )
+        settings = self.directory / f"{cfg.host_id}.json"
+        host = Host(number, cfg, callers, store, peers, settings)
+        host.log = (self.directory / f"{cfg.host_id}.log").open("ab")
+        self.hosts.append(host)
+        self.by_entry[entry] = number
+        self.write_settings(host, cold_slack=5)
+        self._spawn(host)
+
+    def write_settings(self, host: Host, **bounds: float) -> None:
+        """Write a host's settings file."""
+        data = dataclasses.asdict(host.cfg)
+        data["failure_domains"] = data.pop("region_of")
+        data["bounds"] = {**BOUNDS, **bounds}
+        host.settings.write_text(json.dumps(data))
+
+    def _spawn(self, host: Host) -> None:
+        host.incarnation += 1
+        host.proc = subprocess.Popen(
+            [sys.executable, "-m", "lacewingcross.gateway"],
+            env={"LACEWINGCROSS_BOOT": str(host.settings), "PATH": "/usr/bin:/bin"},
+            cwd=Path(__file__).parents[2],
+            stdout=host.log,
+            stderr=host.log,
+        )
+
+    # Upkeep
+
+    async def _keep_running(self) -> None:
+        """Start ended processes again, and note those that ended by themselves."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            for host in self.hosts:
+                code = host.proc.poll()
+                if code is None:
+                    continue
+                now = self.now()
+                if not self.ledger.hosts[host.number].near(now, now):
+                    self.ledger.ended_alone.append((now, host.number, code))
+                self.disturb(host, "restart", 1.0)
+                await asyncio.sleep(RESTART_S)
+                self._spawn(host)
+
+    async def _keep_entries(self) -> None:
+        """Write the servers' heartbeats, and drop entries that lapsed."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.now()
+            if not self.store.faults.down:
+                for server in self.servers:
+                    if not server.mood.dark:
+                        self._beats[server.server_id] = now
+                        if not server.leaving:
+                            self.ledger.left.pop(server.server_id, None)
+                        self.store.put("servers", server.server_id, server.entry())
+            for server_id, beat in list(self._beats.items()):
+                if now - beat > LAPSE_S:
+                    self.store.delete("servers", server_id)
+                    del self._beats[server_id]
+                    self.ledger.left.setdefault(server_id, now)
+
+    async def _watch_own_lag(self) -> None:
+        """Note when this process itself was late: it cannot judge others then."""
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(TICK_S)
+            lag = time.monotonic() - began - TICK_S
+            if lag > TICK_S:
+                self.ledger.own_lags.append((self.now(), lag))
+
+    # What operators, servers and the platform do
+
+    def change(self) -> None:
+        """Accept a new version, with a route that only it has."""
+        self.version += 1
+        route = {
+            "host": HOST_NAME,
+            "timeout_s": 2.0,
+            "target_latency_s": 0.3,
+            "priority": 1,
+            "max_attempts": 3,
+            "affinity": True,
+            "home_regions": [],
+        }
+        read = {**route, "route_type": "safe", "service": "calendar"}
+        booking = {**route, "route_type": "unsafe", "service": "booking"}
+        upload = {**booking, "route_type": "upload"}
+        only = f"/only-{self.version}/"
+        spec = {
+            "version": f"r{self.version}",
+            "routes": {
+                "read": {**read, "path_prefix": "/calendar/"},
+                "booking": {**booking, "path_prefix": "/booking/"},
+                "upload": {**upload, "path_prefix": "/upload/"},
+                "only": {**read, "path_prefix": only},
+            },
+            "services": {
+                name: {
+                    "health_path": "/health",
+                    "max_connections": 200,
+                    "cold_start_s": 1.0,
+                    "cold_per_s": 14.0,
+                }
+                for name in ("calendar", "booking")
+            },
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 1_000_000,
+                "header_timeout_s": 3,
+                "idle_timeout_s": 15,
+            },
+        }
+        self.store.put("config", "main", spec)
+        self.ledger.accepted[self.version] = self.now()
+
+    async def add_server(
+        self, service: str, domain: str, address: str = "127.0.0.1:0"
+    ) -> SoakServer:
+        """Start a server, on an address that another one had if one is given."""
+        self._made += 1
+        rng = random.Random(self.rng.randrange(1 << 32))
+        server = SoakServer(
+            f"s{self._made}", service, domain, self.ledger, rng, self.now, Mood()
+        )
+        await server.start(address)
+        self.servers.append(server)
+        return server
+
+    async def drop_server(self, server: SoakServer) -> None:
+        """End a server as a crash does; its entry lapses."""
+        if server in self.servers:
+            self.servers.remove(server)
+            await server.stop()
+
+    def leave_server(self, server: SoakServer) -> None:
+        """Let a server report that it leaves; the store accepts it now."""
+        server.leaving = True
+        self.store.put("servers", server.server_id, server.entry())
+        self.ledger.left.setdefault(server.server_id, self.now())
+
+    # Harm
+
+    def disturb(self, host: Host, why: str, for_s: float) -> None:
+        """Note that a host cannot be held to time bounds for a while."""
+        now = self.now()
+        self.ledger.hosts[host.number].add(now, now + for_s, why)
+
+    def signal(self, host: Host, signum: int) -> None:
+        """Send a signal to a host's process."""
+        host.proc.send_signal(signum)
+
+    def set_harm(self, proxy: FaultyProxy, harm: Harm) -> None:
+        """Put a proxy into harm, or out of it."""
+        proxy.set(harm)
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -175,7 +175,8 @@
 
     async def run(self) -> None:
         """Listen, and keep links to the known hosts, until cancelled."""
-        host, port = split_address(self.gateway.cfg.peer)
+        cfg = self.gateway.cfg
+        host, port = split_address(cfg.peer_listen or cfg.peer)
         server = await asyncio.start_server(self._accept, host, port, backlog=1024)
         try:
             while True:
--- a/lacewingcross/gateway/settings.py
+++ b/lacewingcross/gateway/settings.py
@@ -26,7 +26,11 @@
 
 @dataclass(slots=True, frozen=True)
 class GatewaySettings:
-    """What one entry host is told at start; all else comes from the platform."""
+    """What one entry host is told at start; all else comes from the platform.
+
+    `peer_listen` is where it listens for other hosts when that is not `peer`, the
+    address that they are told, for example behind address translation.
+    """
 
     host_id: str
     region: str
@@ -37,6 +41,7 @@
     peer: str
     directory: str
     platform: str
+    peer_listen: str = ""
     seeds: tuple[str, ...] = ()
     first_start: bool = False
     max_descriptors: int = 4096
--- a/lacewingcross/platform/settings.py
+++ b/lacewingcross/platform/settings.py
@@ -49,6 +49,7 @@
         entry=reader.address("entry"),
         readiness=reader.address("readiness"),
         peer=reader.address("peer"),
+        peer_listen=reader.text("peer_listen", ""),
         directory=reader.address("directory"),
         platform=reader.address("platform"),
         seeds=tuple(reader.addresses("seeds", [])),
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,77 @@
+"""The soak with real processes: one short run, and the proxy that harms links."""
+
+import asyncio
+
+from bench.soak.proxy import FaultyProxy, Harm
+from bench.soak.run import Size, play_in
+
+# Small enough for a busy machine; the promises that it judges have no tight bounds.
+SHORT = Size(hosts=3, servers=6, callers=6, length_s=5.0, faults_per_s=1.0)
+SEED = 5
+
+
+def test_a_short_seeded_run_breaks_no_promise(tmp_path):
+    result = play_in(SEED, SHORT, tmp_path)
+    assert result.broken == []
+    assert result.outcomes["200"] > 100
+
+
+def through_proxy(check):
+    """Run a check with a proxy before a server that echoes what it gets."""
+
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        proxy = FaultyProxy("127.0.0.1:0", f"127.0.0.1:{port}")
+        await proxy.start()
+        proxy_port = int(proxy.listen.rpartition(":")[2])
+        try:
+            async with asyncio.timeout(20):
+                await check(proxy, proxy_port)
+        finally:
+            await proxy.close()
+            server.close()
+
+    asyncio.run(main())
+
+
+def test_silenced_bytes_flow_on_when_the_harm_ends():
+    async def check(proxy, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        proxy.set(Harm(silent_out=True))
+        writer.write(b"held")
+        waiting = asyncio.ensure_future(reader.read(100))
+        done, _ = await asyncio.wait((waiting,), timeout=0.2)
+        assert not done
+        proxy.set(Harm())
+        assert await waiting == b"held"
+        writer.close()
+
+    through_proxy(check)
+
+
+def test_a_reset_drops_open_connections_and_refuses_new_ones():
+    async def check(proxy, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"a")
+        assert await reader.read(100) == b"a"
+        proxy.set(Harm(reset=True))
+        assert await ended(reader)
+        late, late_writer = await asyncio.open_connection("127.0.0.1", port)
+        assert await ended(late)
+        writer.close()
+        late_writer.close()
+
+    through_proxy(check)
+
+
+async def ended(reader):
+    try:
+        return await reader.read(100) == b""
+    except ConnectionError:
+        return True
--- /dev/null
+++ b/tests/test_soak_ledger.py
@@ -0,0 +1,194 @@
+"""The soak's own checks: each broken promise is found, allowed cases are not."""
+
+import pytest
+
+from bench.soak.ledger import (
+    CONFIG_APPLY_S,
+    DRAIN_S,
+    EVACUATION_S,
+    RETRY_EXTRA,
+    Ledger,
+    Reply,
+    Run,
+    Sent,
+    signature,
+)
+from bench.soak.schedule import draw
+
+SERVER = "s1"
+
+
+def ledger():
+    made = Ledger()
+    made.domain_of[SERVER] = "a1"
+    return made
+
+
+def send(made, request_id="q1", *, kind="booking", at=10.0, version=0, host=0):
+    sent = Sent(
+        request_id, kind, "booking", "/booking/1", b"x", host, 1, at, version=version
+    )
+    made.sent[request_id] = sent
+    return sent
+
+
+def run(made, request_id="q1", *, at=10.1, body=b"x", target="/booking/1"):
+    made.runs[request_id].append(Run(request_id, SERVER, target, body, at))
+
+
+def reply(
+    made, request_id="q1", *, status=200, at=10.2, body=b"y", signed=None, why=""
+):
+    if signed is None:
+        signed = signature(SERVER, request_id, status, body)
+    made.replies.append(Reply(request_id, status, signed, body, at, why))
+
+
+def rules(made):
+    return [item.rule for item in made.broken()]
+
+
+def test_a_served_request_breaks_nothing():
+    made = ledger()
+    send(made)
+    run(made)
+    reply(made)
+    assert rules(made) == []
+
+
+@pytest.mark.parametrize("signed", ["", signature(SERVER, "q2", 200, b"y")])
+def test_an_answer_that_is_not_the_servers_own_is_found(signed):
+    made = ledger()
+    send(made)
+    run(made)
+    reply(made, signed=signed)
+    assert rules(made) == ["MIXED"]
+
+
+def test_a_short_body_is_found():
+    made = ledger()
+    send(made)
+    run(made)
+    reply(made, body=b"y", signed=signature(SERVER, "q1", 200, b"yy"))
+    assert rules(made) == ["MIXED"]
+
+
+def test_a_booking_that_runs_twice_is_found_and_a_read_may():
+    made = ledger()
+    send(made)
+    run(made)
+    run(made, at=10.3)
+    send(made, "q2", kind="read")
+    run(made, "q2")
+    run(made, "q2", at=10.3)
+    assert rules(made) == ["TWICE"]
+
+
+@pytest.mark.parametrize("ran_at", [10.1, 15.0])
+def test_a_refused_booking_that_ran_is_found_also_when_it_runs_later(ran_at):
+    made = ledger()
+    send(made)
+    run(made, at=ran_at)
+    reply(made, status=503, signed="")
+    assert rules(made) == ["REFUSED"]
+
+
+@pytest.mark.parametrize("change", [{"body": b"z"}, {"target": "/booking/2"}])
+def test_a_changed_request_is_found(change):
+    made = ledger()
+    send(made)
+    run(made, **change)
+    assert rules(made) == ["UNASKED"]
+
+
+def test_work_for_a_server_that_left_is_found_unless_the_host_was_disturbed():
+    made = ledger()
+    made.left[SERVER] = 10.0
+    late = 10.0 + DRAIN_S + 0.1
+    send(made, at=late)
+    run(made, at=late)
+    assert rules(made) == ["DRAIN"]
+    made.hosts[0].add(11.0, 11.5, "host-pause")
+    assert rules(made) == []
+
+
+def test_work_for_an_evacuated_domain_is_found():
+    made = ledger()
+    made.evacuated["a1"] = [(10.0, 30.0)]
+    late = 10.0 + EVACUATION_S + 0.1
+    send(made, at=late)
+    run(made, at=late)
+    send(made, "q2", at=31.0)
+    run(made, "q2", at=31.0)
+    assert rules(made) == ["EVAC"]
+
+
+def test_an_old_configuration_is_found_unless_the_store_was_away():
+    made = ledger()
+    made.accepted = {1: 0.0, 2: 10.0}
+    late = 10.0 + CONFIG_APPLY_S + 0.1
+    send(made, kind="read", at=late, version=2)
+    reply(made, status=404, signed="", at=late)
+    send(made, "q2", kind="read", at=late, version=1)
+    reply(made, "q2", at=late)
+    assert rules(made) == ["CONFIG", "CONFIG"]
+    made.core.add(11.0, 12.0, "store-busy")
+    assert rules(made) == []
+
+
+def test_a_host_that_goes_back_to_an_older_version_is_found():
+    made = ledger()
+    made.accepted = {1: 0.0, 2: 10.0}
+    send(made, kind="read", at=10.5, version=2)
+    reply(made, at=10.6)
+    send(made, "q2", kind="read", at=11.0, version=1)
+    reply(made, "q2", at=11.1)
+    assert rules(made) == ["REVERT"]
+
+
+def test_time_bounds_are_not_judged_while_the_soak_itself_is_late():
+    made = ledger()
+    made.left[SERVER] = 10.0
+    late = 10.0 + DRAIN_S + 0.1
+    send(made, at=late)
+    run(made, at=late)
+    made.own_lags.append((12.0, 0.5))
+    assert rules(made) == []
+    assert made.unjudged == 1
+
+
+def test_a_request_that_a_planned_stop_cuts_is_found():
+    made = ledger()
+    send(made)
+    run(made)
+    reply(made, status=0, signed="", why="cut")
+    made.hosts[0].add(9.0, 16.0, "host-term")
+    assert rules(made) == ["LOST"]
+    made.hosts[0].add(10.0, 10.1, "host-kill")
+    assert rules(made) == []
+
+
+def test_too_many_repeats_are_found():
+    made = ledger()
+    for number in range(RETRY_EXTRA + 2):
+        send(made, f"q{number}", kind="read")
+        for at in (10.0, 10.1):
+            made.arrivals.append((at, "booking", f"q{number}"))
+    assert rules(made) == []
+    for number in range(RETRY_EXTRA):
+        made.arrivals.append((10.2, "booking", f"q{number}"))
+    assert rules(made) == ["BUDGET"]
+
+
+def test_a_fleet_that_does_not_recover_is_found():
+    made = ledger()
+    made.calm_from, made.calm_to = 10.0, 20.0
+    send(made, kind="read", at=11.0)
+    reply(made, status=503, signed="")
+    assert rules(made) == ["RECOVER"]
+
+
+def test_a_seed_gives_the_same_faults_each_time():
+    assert draw(7, 15.0, 1.0) == draw(7, 15.0, 1.0)
+    assert draw(7, 15.0, 1.0) != draw(8, 15.0, 1.0)
+    assert len(draw(7, 15.0, 1.0)) >= 15
