One client and one stand-in of the object API for both daemons

Cause: the project's own interface spoke an object API of its own through a client and a stand-in of its own, beside those of the users' platform: two of each, and faults of the store (429, reset, compaction, lost answers) that only one of them knew. Ruled out: one waiting watch a kind in the older daemon (six calls that wait instead of one); a second protocol kept behind a common interface (still two stand-ins). Change: platform/object_api.py makes the calls; ObjectStore and PlatformClient translate. What hosts follow is of one kind of the platform's, named KIND:NAME. PlatformStandin is the object store's stand-in with the list of hosts and the controls added; its own store is gone. An object without a spec is told apart from a deleted one in one place. Tests: test_object_api (lost answers, conflicts, odd names, one watch for all kinds).

--- /dev/null
+++ b/lacewingcross/platform/object_api.py
@@ -0,0 +1,191 @@
+"""Client of the platform's object API: one call each, errors with codes.
+
+A call that got no answer may have been done, or may be done seconds later if its
+condition still holds; the error's code ``unknown-outcome`` says so.
+"""
+
+import json
+import ssl as ssl_module
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from ..errors import PlatformError
+from ..http1_client import HttpClient, HttpError, Response
+from ..http1_json import JSON_TYPE
+
+# A platform that is only slow answers in a few hundred milliseconds; a longer silence
+# is taken for an outage, so that another source is asked in time. In seconds.
+CALL_TIMEOUT_S = 1.0
+_ERROR_CODES = {
+    400: "bad-request",
+    404: "not-found",
+    409: "conflict",
+    410: "compacted",
+    413: "too-large",
+    429: "too-many-calls",
+    503: "unavailable",
+}
+
+
+@dataclass(slots=True, frozen=True)
+class ApiObject:
+    """One object at one revision; `spec` is None for a deleted one."""
+
+    name: str
+    revision: int
+    spec: object
+
+
+@dataclass(slots=True, frozen=True)
+class ApiObjects:
+    """Objects or changes of one kind, complete up to revision `as_of`."""
+
+    as_of: int
+    items: list[ApiObject]
+
+
+class ObjectApi:
+    """Calls of the object API.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the platform.
+    ssl : ssl.SSLContext, optional
+        For TLS.
+    timeout_s : float, optional
+        How long a call may take, in seconds, besides a watch's wait.
+    """
+
+    __slots__ = ("_http", "_timeout_s", "calls")
+
+    def __init__(
+        self,
+        address: str,
+        ssl: ssl_module.SSLContext | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._http = HttpClient(address, ssl)
+        self._timeout_s = timeout_s
+        self.calls = 0
+
+    async def list(self, kind: str, *, stale: bool = False) -> ApiObjects:
+        """Return all objects of a kind, page by page.
+
+        A stale reading costs a tenth of the price and may be some seconds old.
+        """
+        found: list[ApiObject] = []
+        while True:
+            query = {
+                "after": found[-1].name if found else "",
+                "allow_stale": "1" if stale else "",
+            }
+            data = await self.call("GET", _target(kind, query=query))
+            found += [_decode_object(item) for item in data["items"]]
+            if not data.get("has_more"):
+                return ApiObjects(int(data["as_of"]), found)
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> ApiObjects:
+        """Wait for changes of a kind after a revision; none when there were none.
+
+        Raises
+        ------
+        PlatformError
+            With code ``compacted`` when the platform no longer has the changes.
+        """
+        query = {"watch": revision, "wait_ms": int(wait_s * 1000)}
+        target = _target(kind, query=query)
+        data = await self.call("GET", target, wait_s=wait_s)
+        events = [
+            _decode_object(event["object"], deleted=bool(event["deleted"]))
+            for event in data["events"]
+        ]
+        return ApiObjects(int(data["as_of"]), events)
+
+    async def get(self, kind: str, name: str) -> ApiObject:
+        """Return an object; code ``not-found`` when there is none."""
+        return _decode_object(await self.call("GET", _target(kind, name)))
+
+    async def create(self, kind: str, name: str, spec: object) -> ApiObject:
+        """Create an object; code ``conflict`` when it exists."""
+        body = {"metadata": {"name": name}, "spec": spec}
+        return _decode_object(await self.call("POST", _target(kind), body))
+
+    async def replace(
+        self, kind: str, name: str, spec: object, revision: int = 0
+    ) -> ApiObject:
+        """Replace an object; code ``conflict`` when it is not at `revision`."""
+        metadata: dict[str, object] = {"name": name}
+        if revision:
+            metadata["revision"] = revision
+        body = {"metadata": metadata, "spec": spec}
+        return _decode_object(await self.call("PUT", _target(kind, name), body))
+
+    async def delete(self, kind: str, name: str, revision: int = 0) -> int:
+        """Delete an object; return the revision of the deletion, 0 when not told."""
+        query = {"revision": revision or ""}
+        data = await self.call("DELETE", _target(kind, name, query))
+        return int(data.get("metadata", {}).get("revision", 0))
+
+    async def call(
+        self, method: str, target: str, body: object = None, wait_s: float = 0.0
+    ) -> dict:
+        """Make one call and return its decoded answer.
+
+        Raises
+        ------
+        PlatformError
+            With a code of `_ERROR_CODES`, or ``unknown-outcome`` for a write whose
+            answer was lost.
+        """
+        self.calls += 1
+        data = b"" if body is None else encode(body)
+        headers = JSON_TYPE if data else None
+        try:
+            response = await self._http.request(
+                method, target, headers, data, self._timeout_s + wait_s
+            )
+        except HttpError as exc:
+            lost = exc.sent and method != "GET"
+            code = "unknown-outcome" if lost else "unavailable"
+            raise PlatformError(code, f"{method} {target}: {exc}") from exc
+        return _decode(response, f"{method} {target}")
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._http.close()
+
+
+def encode(body: object) -> bytes:
+    """Return a body as the platform takes it."""
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def _target(kind: str, name: str = "", query: dict[str, object] | None = None) -> str:
+    path = f"/v1/objects/{quote(kind)}"
+    if name:
+        path += f"/{quote(name, safe='')}"
+    pairs = [f"{key}={quote(str(val))}" for key, val in (query or {}).items()]
+    pairs = [pair for pair in pairs if not pair.endswith("=")]
+    return path + ("?" + "&".join(pairs) if pairs else "")
+
+
+def _decode(response: Response, call: str) -> dict:
+    try:
+        data = json.loads(response.body) if response.body else {}
+    except ValueError as exc:
+        raise PlatformError("unavailable", f"{call}: the answer is not JSON") from exc
+    if response.status >= 300:
+        code = _ERROR_CODES.get(response.status, "unavailable")
+        why = data.get("message", "") if isinstance(data, dict) else ""
+        raise PlatformError(code, f"{call}: status {response.status} {why}".rstrip())
+    return data if isinstance(data, dict) else {}
+
+
+def _decode_object(item: dict, *, deleted: bool = False) -> ApiObject:
+    meta = item["metadata"]
+    if deleted:
+        return ApiObject(meta["name"], int(meta["revision"]), None)
+    # An object without a spec exists all the same: an evacuation may say no more.
+    spec = item.get("spec")
+    return ApiObject(meta["name"], int(meta["revision"]), {} if spec is None else spec)
--- a/lacewingcross/platform_client.py
+++ b/lacewingcross/platform_client.py
@@ -1,19 +1,23 @@
 """Client of the platform's object API, with answers lost after a write resolved."""
 
-import json
 import ssl as ssl_module
 import uuid
 from dataclasses import dataclass
-from urllib.parse import quote
 
+from .core.config import CONFIG_KINDS
 from .core.membership import HostInfo
+from .core.resources import object_key, split_key
 from .errors import PlatformError
-from .http1_client import HttpClient, HttpError, Response
+from .platform.object_api import ApiObject, ApiObjects, ObjectApi, encode
 
 CALL_TIMEOUT_S = 2.0
 WATCH_WAIT_S = 20.0
 MAX_OBJECT = 1_000_000
 WRITE_TRIES = 3
+# Everything that hosts follow is of one kind of the platform's, so that one waiting
+# watch tells of all of it; each watch that waits is paid for.
+FOLLOWED_KIND = "lacewingcross"
+FOLLOWED_SEPARATOR = ":"
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,7 +58,7 @@
 
 
 class PlatformClient:
-    """Calls of the object API.
+    """Operators' resources and the hosts' records in the object API.
 
     Parameters
     ----------
@@ -66,7 +70,7 @@
         Stored with each write, so that a conflict can say who won.
     """
 
-    __slots__ = ("_http", "_watcher", "_writer")
+    __slots__ = ("_api", "_writer")
 
     def __init__(
         self,
@@ -74,51 +78,51 @@
         ssl: ssl_module.SSLContext | None = None,
         writer: str = "",
     ) -> None:
+        self._api = ObjectApi(address, ssl, CALL_TIMEOUT_S)
         self._writer = writer
-        self._http = HttpClient(address, ssl)
-        self._watcher = HttpClient(address, ssl)
 
     async def get(self, key: str) -> StoredObject:
         """Return an object; code ``not-found`` when there is none."""
-        data = self._data(await self._call("GET", f"/v1/objects/{_path(key)}"))
-        return _object(data)
+        kind, name = _place(key)
+        return _stored(kind, await self._api.get(kind, name))
 
     async def list(self, *kinds: str) -> Listing:
         """Return all objects of some kinds."""
-        target = "/v1/objects?kinds=" + ",".join(kinds)
-        return _listing(self._data(await self._call("GET", target)), "objects")
+        found = [
+            _listing(kind, await self._api.list(kind), kinds)
+            for kind in _platform_kinds(kinds)
+        ]
+        objects = [item for listing in found for item in listing.objects]
+        return Listing(min(listing.revision for listing in found), objects)
 
     async def watch(
         self, kinds: tuple[str, ...], after: int, wait_s: float = WATCH_WAIT_S
     ) -> Listing:
-        """Wait for changes above version `after`; an empty listing on timeout."""
-        target = (
-            f"/v1/watch?kinds={','.join(kinds)}&after={after}"
-            f"&wait_ms={int(wait_s * 1000)}"
-        )
-        response = await self._call("GET", target, timeout_s=wait_s + CALL_TIMEOUT_S)
-        return _listing(self._data(response), "events")
+        """Wait for changes above version `after`; an empty listing on timeout.
+
+        Only kinds that hosts follow can be watched.
+        """
+        found = await self._api.watch(FOLLOWED_KIND, after, wait_s)
+        return _listing(FOLLOWED_KIND, found, kinds)
 
     async def create(self, key: str, spec: object, write_id: str = "") -> StoredObject:
         """Create an object; code ``conflict`` when it exists."""
-        return await self._write("POST", key, spec, "", write_id)
+        return await self._write(key, spec, 0, write_id)
 
     async def update(
         self, key: str, spec: object, if_version: int, write_id: str = ""
     ) -> StoredObject:
         """Replace an object; code ``conflict`` when its version has moved on."""
-        query = f"?if_version={if_version}"
-        return await self._write("PUT", key, spec, query, write_id)
+        return await self._write(key, spec, if_version, write_id)
 
     async def delete(self, key: str, if_version: int) -> int:
         """Delete an object; return the version of the deletion."""
-        target = f"/v1/objects/{_path(key)}?if_version={if_version}"
-        data = self._data(await self._call("DELETE", target))
-        return int(data["version"])
+        kind, name = _place(key)
+        return await self._api.delete(kind, name, if_version)
 
     async def hosts(self) -> HostListing:
         """Return the platform's list of hosts."""
-        data = self._data(await self._call("GET", "/v1/hosts"))
+        data = await self._api.call("GET", "/v1/hosts")
         hosts = [
             HostInfo(
                 item["host_id"],
@@ -133,7 +137,7 @@
         return HostListing(hosts, frozenset(data.get("leaving_servers", ())))
 
     async def _write(
-        self, method: str, key: str, spec: object, query: str, write_id: str
+        self, key: str, spec: object, if_version: int, write_id: str
     ) -> StoredObject:
         """Write, and read back when the answer is lost.
 
@@ -144,14 +148,14 @@
         """
         write_id = write_id or uuid.uuid4().hex
         value = {"spec": spec, "write_id": write_id, "by": self._writer}
-        body = json.dumps(value, separators=(",", ":"), sort_keys=True).encode()
-        if len(body) > MAX_OBJECT:
-            raise PlatformError("too-large", f"{key}: {len(body)} bytes, at most 1 MB")
-        target = f"/v1/objects/{_path(key)}{query}"
+        size = len(encode(value))
+        if size > MAX_OBJECT:
+            raise PlatformError("too-large", f"{key}: {size} bytes, at most 1 MB")
+        kind, name = _place(key)
         lost = False
         for _ in range(WRITE_TRIES):
             try:
-                return _object(self._data(await self._call(method, target, body=body)))
+                return _stored(kind, await self._put(kind, name, value, if_version))
             except PlatformError as exc:
                 if exc.code == "conflict" and lost:
                     return await self._own_write(key, write_id, exc)
@@ -162,6 +166,13 @@
                 lost = True
         raise PlatformError("unknown-outcome", f"{key}: the store gave no answer")
 
+    async def _put(
+        self, kind: str, name: str, value: object, if_version: int
+    ) -> ApiObject:
+        if if_version:
+            return await self._api.replace(kind, name, value, if_version)
+        return await self._api.create(kind, name, value)
+
     async def _own_write(
         self, key: str, write_id: str, conflict: PlatformError
     ) -> StoredObject:
@@ -173,44 +184,35 @@
             return stored
         raise conflict
 
-    async def _call(
-        self,
-        method: str,
-        target: str,
-        body: bytes = b"",
-        timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Response:
-        http = self._watcher if target.startswith("/v1/watch") else self._http
-        try:
-            return await http.request(method, target, None, body, timeout_s)
-        except HttpError as exc:
-            writes = method in ("POST", "PUT", "DELETE")
-            code = "unknown-outcome" if writes and exc.sent else "unavailable"
-            raise PlatformError(code, f"{method} {target}: {exc}") from exc
-
-    def _data(self, response: Response) -> dict:
-        try:
-            data = json.loads(response.body)
-        except ValueError as exc:
-            raise PlatformError("unavailable", "the answer is not JSON") from exc
-        if response.status < 300:
-            return data
-        code = str(data.get("error", "unavailable"))
-        raise PlatformError(code, str(data.get("message", response.status)))
-
     def close(self) -> None:
         """Close the kept connections."""
-        self._http.close()
-        self._watcher.close()
+        self._api.close()
+
+
+def _place(key: str) -> tuple[str, str]:
+    """Return the platform's kind and name of an object."""
+    kind, name = split_key(key)
+    if kind in CONFIG_KINDS:
+        return FOLLOWED_KIND, f"{kind}{FOLLOWED_SEPARATOR}{name}"
+    return kind, name
+
+
+def _platform_kinds(kinds: tuple[str, ...]) -> list[str]:
+    followed = {FOLLOWED_KIND if kind in CONFIG_KINDS else kind for kind in kinds}
+    return sorted(followed)
 
 
-def _path(key: str) -> str:
-    return quote(key, safe="/")
+def _key(kind: str, name: str) -> str:
+    if kind == FOLLOWED_KIND:
+        return object_key(*name.split(FOLLOWED_SEPARATOR, 1))
+    return object_key(kind, name)
 
 
-def _object(data: dict) -> StoredObject:
-    return StoredObject(data["key"], int(data["version"]), data.get("value"))
+def _stored(kind: str, item: ApiObject) -> StoredObject:
+    return StoredObject(_key(kind, item.name), item.revision, item.spec)
 
 
-def _listing(data: dict, field: str) -> Listing:
-    return Listing(int(data["revision"]), [_object(item) for item in data[field]])
+def _listing(kind: str, found: ApiObjects, wanted: tuple[str, ...]) -> Listing:
+    objects = [_stored(kind, item) for item in found.items]
+    chosen = [item for item in objects if split_key(item.key)[0] in wanted]
+    return Listing(found.as_of, chosen)
--- a/lacewingcross/standins/object_store.py
+++ b/lacewingcross/standins/object_store.py
@@ -4,15 +4,21 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
+from ..errors import UserError
 from ..http1_exchange import Exchange
-from ..http1_json import read_body, send_json
+from ..http1_json import read_body, send_error, send_json
 from ..http1_server import HttpServer
 
 PREFIX = "/v1/objects/"
 PAGE = 500
-MAX_BODY = 1 << 20
+# Room for a value of a megabyte and what is written around it.
+MAX_BODY = (1 << 20) + 4096
+# A silent store answers nothing for longer than anybody waits, in seconds.
+SILENT_S = 3600.0
+# Deleted objects that a kind remembers for its watches before it drops its history.
+DELETED_MOST = 5000
 
 
 @dataclass(slots=True)
@@ -46,12 +52,20 @@
     """What the store does wrong, for all callers.
 
     `down` is ``busy`` (503), ``many`` (429), ``reset``, ``silent`` or empty;
-    `lost_writes` are done and not answered.
+    `lost_writes` are done and not answered, or the next `lose_answers` of them only.
     """
 
     down: str = ""
     slow_s: float = 0.0
     lost_writes: bool = False
+    lose_answers: int = 0
+
+    def lose_answer(self) -> bool:
+        """Tell whether the answer to one more write is lost, and count it."""
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return True
+        return self.lost_writes
 
 
 @dataclass(slots=True)
@@ -73,12 +87,13 @@
     calls: int = 0
     _objects: dict[str, dict[str, StoredObject]] = field(default_factory=dict)
     _compacted: int = 0
+    _deleted: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
     _server: HttpServer | None = None
 
     async def start(self) -> int:
         """Listen on a free port of 127.0.0.1; return it."""
-        self._server = HttpServer(self._handle, self.now)
+        self._server = HttpServer(self.handle, self.now)
         return await self._server.start("127.0.0.1", 0)
 
     async def close(self) -> None:
@@ -96,7 +111,7 @@
         live = known is not None and not known.deleted
         created = known.create_revision if live else self.revision
         self._objects[kind][name] = StoredObject(name, self.revision, created, spec)
-        self._wake()
+        self.wake()
         return self.revision
 
     def delete(self, kind: str, name: str) -> None:
@@ -107,36 +122,51 @@
         self.revision += 1
         known.revision = self.revision
         known.deleted = True
-        self._wake()
+        self._deleted += 1
+        if self._deleted > DELETED_MOST:
+            self.compact()
+        self.wake()
 
     def compact(self) -> None:
         """Forget the history; watches from before it get 410."""
         self._compacted = self.revision
+        self._deleted = 0
         for objects in self._objects.values():
             for name in [name for name, obj in objects.items() if obj.deleted]:
                 del objects[name]
-        self._wake()
+        self.wake()
 
     def names(self, kind: str) -> list[str]:
         """Return the names of the objects of a kind."""
         objects = self._objects.get(kind, {}).values()
         return sorted(obj.name for obj in objects if not obj.deleted)
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Let the waiting watches look again."""
         self._changed.set()
         self._changed = asyncio.Event()
 
     # Calls
 
-    async def _handle(self, exchange: Exchange) -> None:
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call of the object API."""
         self.calls += 1
-        body = await read_body(exchange, MAX_BODY)
         if self.faults.slow_s:
             await asyncio.sleep(self.faults.slow_s)
-        if await self._failed(exchange):
+        if await self.failed(exchange):
             return
+        try:
+            await self._answer(exchange)
+        except UserError as exc:
+            await send_error(exchange, 413, exc.code, exc.message)
+        except ValueError as exc:
+            await send_error(exchange, 400, "bad-request", str(exc))
+
+    async def _answer(self, exchange: Exchange) -> None:
+        body = await read_body(exchange, MAX_BODY)
         path, _, query = exchange.head.target.partition("?")
         kind, _, name = path.removeprefix(PREFIX).partition("/")
+        kind, name = unquote(kind), unquote(name)
         fields = {key: values[0] for key, values in parse_qs(query).items()}
         method = exchange.head.method
         if method == "GET" and "watch" in fields:
@@ -146,12 +176,17 @@
         elif method == "GET":
             await self._get(exchange, kind, name)
         else:
-            await self._write(exchange, method, kind, name, json.loads(body or b"{}"))
+            data = json.loads(body or b"{}")
+            meta = data.get("metadata") or {}
+            expected = int(meta.get("revision") or fields.get("revision") or 0)
+            name = name or meta.get("name", "")
+            await self._write(exchange, (kind, name), data.get("spec"), expected)
 
-    async def _failed(self, exchange: Exchange) -> bool:
+    async def failed(self, exchange: Exchange) -> bool:
+        """Answer a call as an outage would; return whether there is one."""
         down = self.faults.down
         if down == "silent":
-            await asyncio.Event().wait()
+            await asyncio.sleep(SILENT_S)
         if down == "reset":
             exchange.abort()
         if down in ("busy", "many"):
@@ -174,6 +209,8 @@
         since = int(fields["watch"])
         ends = self.now() + int(fields.get("wait_ms", 0)) / 1000.0
         while True:
+            if await self.failed(exchange):
+                return
             if since < self._compacted:
                 await send_json(exchange, 410, {"error": "history-gone"})
                 return
@@ -200,30 +237,30 @@
         await send_json(exchange, 200, known.as_data())
 
     async def _write(
-        self, exchange: Exchange, method: str, kind: str, name: str, body: dict
+        self,
+        exchange: Exchange,
+        place: tuple[str, str],
+        spec: object,
+        expected: int,
     ) -> None:
-        meta = body.get("metadata") or {}
-        name = name or meta.get("name", "")
+        kind, name = place
+        method = exchange.head.method
         known = self._objects.get(kind, {}).get(name)
         live = known is not None and not known.deleted
-        expected = meta.get("revision")
-        if (
-            method == "POST"
-            and live
-            or expected
-            and live
-            and (expected != known.revision)
-        ):
-            await send_json(exchange, 409, known.as_data())
-            return
         if method != "POST" and not live:
-            await send_json(exchange, 404, {"error": "not-found"})
+            message = f"{kind}/{name}: no such object"
+            await send_error(exchange, 404, "not-found", message)
+            return
+        if method == "POST" and live or expected and expected != known.revision:
+            message = f"{kind}/{name}: revision is {known.revision}"
+            data = {"error": "conflict", "message": message, **known.as_data()}
+            await send_json(exchange, 409, data)
             return
         if method == "DELETE":
             self.delete(kind, name)
         else:
-            self.put(kind, name, body.get("spec"))
-        if self.faults.lost_writes:
+            self.put(kind, name, spec)
+        if self.faults.lose_answer():
             exchange.abort()
             return
         await send_json(exchange, 200, self._objects[kind][name].as_data())
--- a/lacewingcross/standins/platform.py
+++ b/lacewingcross/standins/platform.py
@@ -4,7 +4,6 @@
 import json
 from collections import Counter
 from dataclasses import asdict
-from urllib.parse import parse_qs, unquote
 
 from ..checks import Reader, split_address
 from ..clock import Clock, SystemClock
@@ -14,34 +13,10 @@
 from ..http1_server import HttpServer
 from ..settings import KnownHost, PlatformSettings
 from ..tls import TlsFiles
-from .store import Change, Store
+from .object_store import ObjectStoreStandin
 
-MAX_OBJECT = 1_000_000
-MAX_WAIT_MS = 60_000
-OUTAGE_STALL_S = 3600.0
-
-
-class Faults:
-    """Switches set by tests through ``POST /control/faults``."""
-
-    __slots__ = ("freeze_list", "lose_answers", "outage", "slow_ms", "stall")
-
-    def __init__(self) -> None:
-        self.outage = False
-        self.stall = False
-        self.slow_ms = 0.0
-        self.lose_answers = 0
-        self.freeze_list = False
-
-    def set(self, data: object) -> None:
-        """Take over the switches named in `data`."""
-        reader = Reader(data, "faults", ResourceError)
-        self.outage = reader.boolean("outage", self.outage)
-        self.stall = reader.boolean("stall", self.stall)
-        self.slow_ms = reader.number("slow_ms", self.slow_ms)
-        self.lose_answers = reader.integer("lose_answers", self.lose_answers)
-        self.freeze_list = reader.boolean("freeze_list", self.freeze_list)
-        reader.finish()
+MAX_CONTROL = 1_000_000
+OBJECTS_PATH = "/v1/objects/"
 
 
 class PlatformStandin:
@@ -58,16 +33,15 @@
     def __init__(self, cfg: PlatformSettings, clock: Clock | None = None) -> None:
         clock = clock or SystemClock()
         self._cfg = cfg
-        self._now = clock.monotonic
-        self.store = Store()
-        self.faults = Faults()
+        self.objects = ObjectStoreStandin(clock.monotonic)
         self.calls: Counter[str] = Counter()
+        self._freeze_list = False
         self._hosts = {known.host_id: known for known in cfg.hosts}
         self._states = dict.fromkeys(self._hosts, "live")
         self._leaving_servers: set[str] = set()
         self._published = self._host_list()
         self._publisher: asyncio.Task[None] | None = None
-        self.server = HttpServer(self._handle, self._now)
+        self.server = HttpServer(self._handle, clock.monotonic)
 
     async def start(self) -> int:
         """Listen; return the port."""
@@ -89,7 +63,7 @@
         while True:
             current = self._host_list()
             await asyncio.sleep(max(0.05, self._cfg.list_lag_s))
-            if not self.faults.freeze_list:
+            if not self._freeze_list:
                 self._published = current
 
     def _host_list(self) -> dict[str, object]:
@@ -105,120 +79,35 @@
         self._states[known.host_id] = "live"
 
     async def _handle(self, exchange: Exchange) -> None:
-        path, _, query = exchange.head.target.partition("?")
-        parts = [unquote(part) for part in path.strip("/").split("/")]
-        params = {key: vals[0] for key, vals in parse_qs(query).items()}
+        path = exchange.head.target.partition("?")[0]
         try:
-            if parts[0] == "control":
-                await self._control(exchange, parts)
-                return
-            if parts[0] != "v1" or len(parts) < 2:
-                raise UserError("not-found", "expected a path under /v1")
-            await self._api(exchange, parts, params)
+            if path.startswith("/control/"):
+                await self._control(exchange, path.removeprefix("/control/"))
+            elif path.startswith(OBJECTS_PATH):
+                self.calls[f"{exchange.head.method} objects"] += 1
+                await self.objects.handle(exchange)
+            elif path == "/v1/hosts":
+                await self._hosts_call(exchange)
+            else:
+                await send_error(exchange, 404, "not-found", "unknown path")
         except UserError as exc:
-            status = _STATUS.get(exc.code, 400)
-            await send_error(exchange, status, exc.code, exc.message)
+            await send_error(exchange, 400, exc.code, exc.message)
         except ValueError as exc:
             await send_error(exchange, 400, "bad-request", str(exc))
 
-    async def _api(
-        self, exchange: Exchange, parts: list[str], params: dict[str, str]
-    ) -> None:
-        method = exchange.head.method
-        self.calls[f"{method} {parts[1]}"] += 1
-        if self.faults.stall:
-            await asyncio.sleep(OUTAGE_STALL_S)
-        if self.faults.outage:
-            raise UserError("unavailable", "outage")
-        if self.faults.slow_ms:
-            await asyncio.sleep(self.faults.slow_ms / 1000.0)
-        if parts[1] == "hosts":
+    async def _hosts_call(self, exchange: Exchange) -> None:
+        self.calls["GET hosts"] += 1
+        await asyncio.sleep(self.objects.faults.slow_s)
+        if not await self.objects.failed(exchange):
             await send_json(exchange, 200, self._published)
-        elif parts[1] == "watch":
-            await self._watch(exchange, params)
-        elif parts[1] == "objects" and len(parts) == 2:
-            await self._list(exchange, params)
-        elif parts[1] == "objects" and len(parts) == 4:
-            await self._object(exchange, method, f"{parts[2]}/{parts[3]}", params)
-        else:
-            raise UserError("not-found", "unknown path")
-
-    async def _list(self, exchange: Exchange, params: dict[str, str]) -> None:
-        items = self.store.of_kinds(_kinds(params))
-        await send_json(
-            exchange,
-            200,
-            {"revision": self.store.revision, "objects": [_data(it) for it in items]},
-        )
-
-    async def _watch(self, exchange: Exchange, params: dict[str, str]) -> None:
-        kinds = _kinds(params)
-        after = int(params.get("after", "0"))
-        wait_ms = min(MAX_WAIT_MS, int(params.get("wait_ms", "0")))
-        deadline = self._now() + wait_ms / 1000.0
-        while True:
-            if self.faults.outage:
-                raise UserError("unavailable", "outage")
-            if self.store.compacted(after):
-                raise UserError("compacted", "list again")
-            changes = self.store.changes(kinds, after)
-            left = deadline - self._now()
-            if changes or left <= 0:
-                break
-            await self.store.wait(min(left, 0.5))
-        if self.faults.stall:
-            await asyncio.sleep(OUTAGE_STALL_S)
-        await send_json(
-            exchange,
-            200,
-            {"revision": self.store.revision, "events": [_data(it) for it in changes]},
-        )
 
-    async def _object(
-        self, exchange: Exchange, method: str, key: str, params: dict[str, str]
-    ) -> None:
-        if method == "GET":
-            await send_json(exchange, 200, _data(self._existing(key)))
-            return
-        value = None
-        if method in ("POST", "PUT"):
-            value = json.loads(await read_body(exchange, MAX_OBJECT))
-        change = self._write(method, key, value, params)
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
-            exchange.abort()
-            return
-        await send_json(exchange, 200, _data(change))
-
-    def _existing(self, key: str) -> Change:
-        found = self.store.get(key)
-        if found is None:
-            raise UserError("not-found", f"{key}: no such object")
-        return found
-
-    def _write(
-        self, method: str, key: str, value: object, params: dict[str, str]
-    ) -> Change:
-        if method == "POST":
-            if self.store.get(key) is not None:
-                raise UserError("conflict", f"{key}: exists")
-            return self.store.put(key, value)
-        if method not in ("PUT", "DELETE"):
-            raise UserError("bad-request", f"unknown method {method}")
-        found = self._existing(key)
-        wanted = params.get("if_version")
-        if wanted is not None and int(wanted) != found.version:
-            raise UserError("conflict", f"{key}: version is {found.version}")
-        return self.store.put(key, value)
-
-    async def _control(self, exchange: Exchange, parts: list[str]) -> None:
-        what = parts[1] if len(parts) > 1 else ""
+    async def _control(self, exchange: Exchange, what: str) -> None:
         if what == "calls":
             await send_json(exchange, 200, dict(self.calls))
             return
-        data = json.loads(await read_body(exchange, MAX_OBJECT))
+        data = json.loads(await read_body(exchange, MAX_CONTROL))
         if what == "faults":
-            self.faults.set(data)
+            self._control_faults(data)
         elif what == "hosts":
             self._control_host(data)
         elif what == "leaving-servers":
@@ -227,6 +116,19 @@
             raise UserError("not-found", "unknown control")
         await send_json(exchange, 200, {"ok": True})
 
+    def _control_faults(self, data: object) -> None:
+        """Take over the switches named in `data`; the others stay."""
+        faults = self.objects.faults
+        reader = Reader(data, "faults", ResourceError)
+        outage = reader.boolean("outage", faults.down == "busy")
+        stall = reader.boolean("stall", faults.down == "silent")
+        faults.down = "silent" if stall else "busy" if outage else ""
+        faults.slow_s = reader.number("slow_ms", faults.slow_s * 1000.0) / 1000.0
+        faults.lose_answers = reader.integer("lose_answers", faults.lose_answers)
+        self._freeze_list = reader.boolean("freeze_list", self._freeze_list)
+        reader.finish()
+        self.objects.wake()
+
     def _control_host(self, data: object) -> None:
         reader = Reader(data, "host", ResourceError)
         host_id = reader.name("host_id")
@@ -246,20 +148,3 @@
             self.add_host(known)
         if host_id in self._hosts:
             self._states[host_id] = state
-
-
-_STATUS = {
-    "not-found": 404,
-    "conflict": 409,
-    "compacted": 410,
-    "too-large": 413,
-    "unavailable": 503,
-}
-
-
-def _kinds(params: dict[str, str]) -> set[str]:
-    return set(params.get("kinds", "").split(","))
-
-
-def _data(change: Change) -> dict[str, object]:
-    return {"key": change.key, "version": change.version, "value": change.value}
--- /dev/null
+++ b/tests/test_object_api.py
@@ -0,0 +1,125 @@
+"""The object API's calls, and operators' resources on them, against the stand-in."""
+
+import asyncio
+import time
+
+import pytest
+
+from lacewingcross.errors import PlatformError
+from lacewingcross.platform.object_api import ObjectApi
+from lacewingcross.platform_client import PlatformClient
+from lacewingcross.standins.object_store import ObjectStoreStandin
+
+
+def with_api(check):
+    async def run():
+        standin = ObjectStoreStandin(time.monotonic)
+        port = await standin.start()
+        address = f"127.0.0.1:{port}"
+        api, client = ObjectApi(address), PlatformClient(address, writer="ana")
+        try:
+            async with asyncio.timeout(20):
+                await check(standin, api, client)
+        finally:
+            api.close()
+            client.close()
+            await standin.close()
+
+    asyncio.run(run())
+
+
+def code_of(caught):
+    return caught.value.code
+
+
+def test_a_write_at_an_old_revision_conflicts_and_changes_nothing():
+    # Two operators change one object; the second one has not seen the first one's
+    # change and must not undo it.
+    async def check(_standin, api, _client):
+        first = await api.create("notes", "n", 1)
+        second = await api.replace("notes", "n", 2, first.revision)
+        with pytest.raises(PlatformError) as caught:
+            await api.replace("notes", "n", 3, first.revision)
+        assert code_of(caught) == "conflict"
+        with pytest.raises(PlatformError) as caught:
+            await api.delete("notes", "n", first.revision)
+        assert code_of(caught) == "conflict"
+        assert (await api.get("notes", "n")).spec == 2
+        assert await api.delete("notes", "n", second.revision) > second.revision
+        with pytest.raises(PlatformError) as caught:
+            await api.get("notes", "n")
+        assert code_of(caught) == "not-found"
+
+    with_api(check)
+
+
+def test_an_object_without_a_spec_is_not_a_deleted_one():
+    # An evacuation may consist of its name alone. Taken for a deletion, requests would
+    # go on to the failure domain that is being emptied.
+    async def check(standin, api, _client):
+        standin.put("evacuations", "a1", None)
+        found = await api.list("evacuations")
+        assert [(item.name, item.spec) for item in found.items] == [("a1", {})]
+        changes = await api.watch("evacuations", 0, 1.0)
+        assert [(item.name, item.spec) for item in changes.items] == [("a1", {})]
+
+    with_api(check)
+
+
+def test_names_with_odd_characters_come_back_as_they_were():
+    async def check(_standin, api, _client):
+        await api.create("notes", "a/b c:d", 1)
+        assert (await api.get("notes", "a/b c:d")).name == "a/b c:d"
+
+    with_api(check)
+
+
+def test_one_watch_tells_of_all_that_hosts_follow():
+    async def check(standin, _api, client):
+        await client.create("ShiftCap/booking", {"fraction": 0.1})
+        await client.create("HostReport/host-1", {"in_flight": 1})
+        seen = await client.watch(("ShiftCap", "Drain"), 0)
+        assert [item.key for item in seen.objects] == ["ShiftCap/booking"]
+        listed = await client.list("ShiftCap", "HostReport")
+        keys = {item.key for item in listed.objects}
+        assert keys == {"ShiftCap/booking", "HostReport/host-1"}
+        assert standin.names("HostReport") == ["host-1"]
+
+    with_api(check)
+
+
+def test_a_watch_does_not_pass_over_what_came_with_other_kinds():
+    async def check(_standin, _api, client):
+        first = await client.create("ShiftCap/booking", {"fraction": 0.1})
+        await client.create("Drain/d", {"server": "s"})
+        seen = await client.watch(("Drain",), first.version)
+        assert [item.key for item in seen.objects] == ["Drain/d"]
+        assert seen.revision > first.version
+
+    with_api(check)
+
+
+def test_a_write_whose_answer_was_lost_is_found_again_by_its_id():
+    # The store creates the object and the answer is lost. Creating it again conflicts,
+    # with the operator's own write: that is a success, not somebody else's change.
+    async def check(standin, _api, client):
+        standin.faults.lose_answers = 1
+        stored = await client.create("ShiftCap/booking", {"fraction": 0.1})
+        assert stored.spec() == {"fraction": 0.1}
+        assert stored.writer() == "ana"
+        assert standin.revision == 1
+
+    with_api(check)
+
+
+def test_history_is_dropped_after_many_deletions_and_watches_are_told():
+    async def check(standin, api, _client):
+        standin.put("claims", "first", 1)
+        for number in range(5001):
+            standin.put("claims", "c", number)
+            standin.delete("claims", "c")
+        with pytest.raises(PlatformError) as caught:
+            await api.watch("claims", 1, 1.0)
+        assert code_of(caught) == "compacted"
+
+    with_api(check)
