Callers are named the larger hosts; what the fleet shares is divided by size

Cause: the grown fleets have hosts of 2.15 and of 0.43 cores; callers choose at random, so each got the same share, and a retry reserve and a cold server's room were divided by the number of hosts (a sixty-eighth of a cold server's room is none). Ruled out: naming hosts now and then by size (callers drop connections to hosts that are missing from a new answer); naming one twice (the answer is a set). Change: hosts tell their processor time (hello, members, their object in the store); roster.larger names the largest with half of a region's; part_of_region and part_of_fleet divide the room of cold servers and the retry reserve; a large host follows the store. A reserve shrinks when more hosts become known: hosts that start together each had all. One Backoff for both daemons. Tests fail before: test_roster (mixed fleet), test_steering (reserve). Fleets of equal hosts: the same numbers as before.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -156,6 +156,7 @@
         """Write a host's settings file."""
         data = dataclasses.asdict(host.cfg)
         data["failure_domains"] = data.pop("region_of")
+        data["processor_share"] = data.pop("cores")
         data["bounds"] = {**BOUNDS, **bounds}
         host.settings.write_text(json.dumps(data))
 
--- a/lacewingcross/core/attempts.py
+++ b/lacewingcross/core/attempts.py
@@ -127,6 +127,11 @@
         self._most = reserve * requests_each
         self._earned = self._most
 
+    def resize(self, reserve: int) -> None:
+        """Take over another reserve; what was saved beyond it is lost."""
+        self._most = reserve * self.requests_each
+        self._earned = min(self._earned, self._most)
+
     def earn(self) -> None:
         """Count one request."""
         self._earned = min(self._most, self._earned + 1)
--- a/lacewingcross/core/cold.py
+++ b/lacewingcross/core/cold.py
@@ -3,7 +3,7 @@
 A server that has just started breaks when it gets much more than it can bear. The
 bound holds over all hosts, also those that hear nothing of each other, so each host
 keeps a fixed share: only the hosts of the server's own region may send to it while it
-is cold, and each of them an equal part.
+is cold, and each of them a part by its size.
 """
 
 from collections import deque
@@ -35,8 +35,8 @@
         self._sent.append(now)
 
 
-def share_of(per_s: float, over: float, slack: float, hosts: int) -> int:
-    """Return how many requests a second one of `hosts` may send to a cold server.
+def share_of(per_s: float, over: float, slack: float, part: float) -> int:
+    """Return how many requests a second one host may send to a cold server.
 
     Parameters
     ----------
@@ -44,8 +44,9 @@
         Requests a second that the server bears while it is cold.
     over, slack : float
         The bound is ``per_s * over + slack`` in any second.
-    hosts : int
-        Hosts of the server's region, living or not.
+    part : float
+        This host's part of what all hosts of the server's region may send, living or
+        not: their parts add up to 1 at most.
     """
     bound = per_s * over + slack
-    return int(bound / max(1, hosts))
+    return int(bound * part)
--- a/lacewingcross/core/membership.py
+++ b/lacewingcross/core/membership.py
@@ -18,7 +18,10 @@
 
 @dataclass(slots=True, frozen=True)
 class HostInfo:
-    """An entry host as the platform's list names it."""
+    """An entry host as the platform's list names it.
+
+    `cores` is the processor time that it gets, in seconds of an ordinary core a second.
+    """
 
     host_id: str
     region: str
@@ -26,6 +29,28 @@
     entry: str
     peer: str
     listed: str = LIVE
+    cores: float = 1.0
+
+
+MemberFields = tuple[str, str, str, str, str, float]
+
+
+def member_fields(info: HostInfo) -> MemberFields:
+    """Return a host as `messages.Members` carries it."""
+    return (
+        info.host_id,
+        info.region,
+        info.failure_domain,
+        info.entry,
+        info.peer,
+        info.cores,
+    )
+
+
+def member_info(fields: MemberFields) -> HostInfo:
+    """Return the host in an item of `messages.Members`."""
+    *names, cores = fields
+    return HostInfo(*names, cores=cores)
 
 
 @dataclass(slots=True)
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -14,6 +14,7 @@
     failure_domain: str
     entry: str
     peer: str
+    cores: float = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,9 +35,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Members:
-    """Hosts known to the sender: id, region, failure domain, entry, peer."""
+    """Hosts known to the sender: id, region, failure domain, entry, peer, cores."""
 
-    hosts: list[tuple[str, str, str, str, str]]
+    hosts: list[tuple[str, str, str, str, str, float]]
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/node.py
+++ b/lacewingcross/core/node.py
@@ -27,7 +27,7 @@
 from .keeper import KeeperPolicy
 from .keeping import KeeperSet
 from .lookup import LookupAnswer, LookupRefusal, answer
-from .membership import LEAVING, HostInfo, Membership
+from .membership import LEAVING, HostInfo, Membership, member_fields, member_info
 from .planning import PlannerSet
 from .randomness import RandomSource
 from .reports import Reporter
@@ -202,10 +202,7 @@
     def _connected(self, event: PeerConnected, now: float) -> Iterator[Action]:
         self.view.members.on_hello(event.info, event.incarnation, now)
         self._changed = True
-        known = [
-            (info.host_id, info.region, info.failure_domain, info.entry, info.peer)
-            for info in self.view.members.hosts()
-        ]
+        known = [member_fields(info) for info in self.view.members.hosts()]
         yield SendPeer(event.info.host_id, msg.Members(known))
 
     def _broken(self, event: PeerBroken, now: float) -> Iterator[Action]:
@@ -272,7 +269,7 @@
     def _on_members(
         self, _host_id: str, members: msg.Members, now: float
     ) -> Iterator[Action]:
-        learnt = [HostInfo(*item) for item in members.hosts]
+        learnt = [member_info(item) for item in members.hosts]
         self.view.members.learn(learnt, now)
         yield from ()
 
--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -148,7 +148,7 @@
         "_services",
         "_told",
         "guard",
-        "region_hosts",
+        "region_part",
         "rtt_s",
         "servers",
     )
@@ -174,7 +174,7 @@
         self._told: dict[str, dict[str, int]] = {}
         self._lost_at = float("-inf")
         self.guard = ShareGuard()
-        self.region_hosts = HOSTS_UNLISTED
+        self.region_part = 1.0 / HOSTS_UNLISTED
         self.rtt_s: dict[str, float] = {}
         self.servers: dict[str, Server] = {}
 
@@ -363,7 +363,7 @@
         if declared is None or server.region != self._region:
             return False
         limit = share_of(
-            declared.cold_rate, self._cold_over, self._cold_slack, self.region_hosts
+            declared.cold_rate, self._cold_over, self._cold_slack, self.region_part
         )
         return server.cold_share.room(limit, now)
 
--- a/lacewingcross/core/roster.py
+++ b/lacewingcross/core/roster.py
@@ -26,6 +26,9 @@
 # A host that has been silent for so long is no longer dialled, in seconds. A host that
 # comes back names itself again.
 FORGET_AFTER_S = 60.0
+# Part of a region's processor time that the hosts named to callers have at least. A
+# request takes 3 ms of a core; users' fleets have five times what theirs take in all.
+LARGER_PART = 0.5
 # Hosts of a region that are reckoned with before the list of hosts was read: the most
 # that either user has in a region today, and half as many again.
 HOSTS_UNLISTED = 8
@@ -148,7 +151,8 @@
         """Return this host's place among those that may follow the store, 0 first.
 
         Hosts that start or leave, or that the store turns away, come last: they are
-        able to follow it only if nobody else is.
+        able to follow it only if nobody else is. Of the others the largest come first,
+        since the one that follows tells every change to all.
         """
         poor = {
             host_id: entry.leaving or entry.turned_away
@@ -156,9 +160,31 @@
             if entry.live(now)
         }
         poor[self.own.host_id] = self.out or self.turned_away
-        order = sorted(ranked("store-follower", poor), key=poor.__getitem__)
+        cores = {info.host_id: info.cores for info in self.live(now)}
+        order = sorted(
+            ranked("store-follower", poor),
+            key=lambda host_id: (poor[host_id], -cores[host_id]),
+        )
         return order.index(self.own.host_id)
 
+    def part_of_region(self) -> float:
+        """Return this host's part of its region's processor time, see `region_size`."""
+        infos = [entry.info for entry in self.entries.values()]
+        cores = self._cores_of(info for info in infos if info.region == self.own.region)
+        return self._reckoned(self.own.cores / cores)
+
+    def _reckoned(self, part: float) -> float:
+        """Return a part, less while there may be hosts that are not known yet."""
+        return part if self.listed else min(part, 1.0 / HOSTS_UNLISTED)
+
+    def part_of_fleet(self) -> float:
+        """Return this host's part of all hosts' processor time, living or not."""
+        infos = (entry.info for entry in self.entries.values())
+        return self._reckoned(self.own.cores / self._cores_of(infos))
+
+    def _cores_of(self, others: Iterable[HostInfo]) -> float:
+        return self.own.cores + sum(info.cores for info in others)
+
     def addresses_for(
         self, region: str, homes: frozenset[str], now: float
     ) -> list[str]:
@@ -166,13 +192,14 @@
 
         Callers are sent to their own region. If no host lives there, they go to the
         regions to which their requests are bound, or to any when they are not bound.
+        Of hosts of different sizes they are sent to the larger ones, see `larger`.
         """
         serving = list(self._serving(now)) or self.live(now)
         in_homes = [info for info in serving if info.region in homes]
         elsewhere = in_homes if homes else serving
         here = [info for info in serving if info.region == region]
         chosen = here or elsewhere or [self.own]
-        return [info.entry for info in chosen]
+        return [info.entry for info in larger(chosen)]
 
     def _serving(self, now: float) -> Iterable[HostInfo]:
         if not self.out:
@@ -180,3 +207,24 @@
         for entry in self.entries.values():
             if entry.live(now) and not entry.leaving:
                 yield entry.info
+
+
+def larger(hosts: list[HostInfo]) -> list[HostInfo]:
+    """Return the largest hosts that have half of all processor time, in order.
+
+    Answers this load: fleets of a few large hosts and many small ones, which callers
+    choose among at random. An equal share would fill the small ones (0.43 of a core and
+    10 Mbit/s against 2.15 and 200), and what each of 68 hosts knows of a server with
+    five slots is always old. With half of the time none of the large ones has more than
+    twice the work that it would have by its size; when some are lost, the next smaller
+    ones come in. Hosts of one size stay together, so an even fleet keeps all.
+    """
+    half = sum(info.cores for info in hosts) * LARGER_PART
+    taken = 0.0
+    least = 0.0
+    for info in sorted(hosts, key=lambda info: -info.cores):
+        if taken >= half:
+            break
+        taken += info.cores
+        least = info.cores
+    return [info for info in hosts if info.cores >= least]
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -66,6 +66,7 @@
         "_held",
         "_least_urgent",
         "_outage_ended_at",
+        "_part",
         "_retry_extra",
         "_retry_ratio",
         "_splitters",
@@ -90,6 +91,7 @@
         self.rng = rng
         self.table: RouteTable | None = None
         self.hosts = 1
+        self._part = 1.0
         self._decoder = decoder
         self._retry_ratio = retry_ratio
         self._retry_extra = retry_extra
@@ -215,13 +217,27 @@
             self._retry_extra = extra
             self._budgets.clear()
 
+    def set_part(self, part: float) -> None:
+        """Take over this host's part of what all hosts share.
+
+        Failure: all hosts start together, and each knows only itself when its first
+        requests come. What it reckoned with then must not stay.
+        """
+        if part != self._part:
+            self._part = part
+            for budget in self._budgets.values():
+                budget.resize(self._reserve())
+
+    def _reserve(self) -> int:
+        share = self._retry_extra * RETRY_MARGIN * self._part
+        return max(1, int(share))
+
     def budget(self, service: str) -> RetryBudget:
         """Return this host's part of the retry allowance of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            share = self._retry_extra * RETRY_MARGIN / max(1, self.hosts)
             each = max(1, round(1.0 / self._retry_ratio))
-            budget = RetryBudget(requests_each=each, reserve=max(1, int(share)))
+            budget = RetryBudget(requests_each=each, reserve=self._reserve())
             self._budgets[service] = budget
         return budget
 
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -77,7 +77,14 @@
     ) -> None:
         rng = rng or random.Random(secrets.randbits(64))
         clock = clock or SystemClock()
-        own = HostInfo(cfg.host_id, cfg.region, cfg.failure_domain, cfg.entry, cfg.peer)
+        own = HostInfo(
+            cfg.host_id,
+            cfg.region,
+            cfg.failure_domain,
+            cfg.entry,
+            cfg.peer,
+            cores=cfg.cores,
+        )
         bounds = cfg.bounds
         placement = Placement(
             cfg.region, cfg.region_of, rng, bounds.cold_over, bounds.cold_slack
@@ -144,8 +151,10 @@
             if not entry.live(now):
                 placement.set_peer_counts(host_id, {})
         gateway.roster.turned_away = gateway.duty.turned_away(now)
-        gateway.steering.hosts = 1 + len(gateway.roster.entries)
-        placement.region_hosts = gateway.roster.region_size(gateway.cfg.region)
+        steering = gateway.steering
+        steering.hosts = 1 + len(gateway.roster.entries)
+        steering.set_part(gateway.roster.part_of_fleet())
+        placement.region_part = gateway.roster.part_of_region()
         if gateway.roster.starting and gateway.steering.ready():
             gateway.roster.starting = False
             self._peers.announce()
--- a/lacewingcross/gateway/following.py
+++ b/lacewingcross/gateway/following.py
@@ -4,15 +4,13 @@
 from collections.abc import Callable
 
 from .. import logs
+from ..backoff import Backoff
 from ..core.replica import Document, Kind, Update
 from ..core.watching import FIRST_WAIT_S, WATCH_WAIT_S
 from ..errors import PlatformError
 from ..platform.store import ObjectStore
 from .context import Gateway
 
-# Pauses after a failed call, in seconds; refused calls are paid for too.
-RETRY_MIN_S = 0.15
-RETRY_MAX_S = 0.8
 REVIEW_S = 0.1
 # The list of hosts is read again at this pace, for those whose hello was missed.
 HOSTS_EVERY_S = 10.0
@@ -56,7 +54,7 @@
         return self._duty.mine(kind, rank, now)
 
     async def _follow(self, kind: Kind) -> None:
-        pause = RETRY_MIN_S
+        backoff = Backoff(self._gateway.steering.rng)
         listed = False
         wait_s = FIRST_WAIT_S
         while True:
@@ -72,16 +70,14 @@
                     await self._list(kind)
                     listed = True
                 self._regained()
-                pause = RETRY_MIN_S
+                backoff.reset()
             except PlatformError as exc:
                 if exc.code == "compacted":
                     listed = False
                     logs.event("store-compacted", kind=kind.name)
                     continue
                 self._note_failure(kind, exc)
-                spread = self._gateway.steering.rng.uniform(0.5, 1.0)
-                await asyncio.sleep(pause * spread)
-                pause = min(RETRY_MAX_S, pause * 2)
+                await backoff.wait()
                 if not listed and not self._my_duty(kind):
                     # The peers have told all that the store would have.
                     listed = self._gateway.steering.replica.as_of(kind) > 0
@@ -183,7 +179,7 @@
         """
         named = False
         listed = False
-        pause = RETRY_MIN_S
+        backoff = Backoff(self._gateway.steering.rng)
         while True:
             try:
                 if not named:
@@ -192,12 +188,11 @@
                 # Whoever was named after the first reading has said hello to this host.
                 await self._read(stale=listed)
                 listed = True
-                pause = RETRY_MIN_S
+                backoff.reset()
                 await asyncio.sleep(HOSTS_EVERY_S)
             except PlatformError as exc:
                 self._gateway.metrics.count(f"store.hosts-{exc.code}")
-                await asyncio.sleep(pause)
-                pause = min(RETRY_MAX_S, pause * 2)
+                await backoff.wait()
 
     async def _read(self, *, stale: bool) -> None:
         now = self._gateway.now()
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -7,7 +7,7 @@
 from .. import logs
 from ..checks import split_address
 from ..core import messages as msg
-from ..core.membership import HostInfo
+from ..core.membership import HostInfo, member_fields, member_info
 from ..core.replica import Document, Kind, Update
 from ..core.roster import ALIVE_EVERY_S
 from ..errors import FrameError
@@ -115,11 +115,9 @@
             own.failure_domain,
             own.entry,
             own.peer,
+            own.cores,
         )
-        known = [
-            (info.host_id, info.region, info.failure_domain, info.entry, info.peer)
-            for info in gateway.roster.live(gateway.now())
-        ]
+        known = [member_fields(info) for info in gateway.roster.live(gateway.now())]
         pulls = [
             msg.StorePull(int(kind), gateway.steering.replica.as_of(kind))
             for kind in Kind
@@ -270,7 +268,7 @@
             self._answer_pull(info, message)
         elif isinstance(message, msg.Members):
             for fields in message.hosts:
-                self.gateway.roster.learn(HostInfo(*fields), now)
+                self.gateway.roster.learn(member_info(fields), now)
 
     def _take_alive(
         self, info: HostInfo, incarnation: int, message: msg.Alive, now: float
--- a/lacewingcross/gateway/settings.py
+++ b/lacewingcross/gateway/settings.py
@@ -29,7 +29,8 @@
     """What one entry host is told at start; all else comes from the platform.
 
     `peer_listen` is where it listens for other hosts when that is not `peer`, the
-    address that they are told, for example behind address translation.
+    address that they are told, for example behind address translation. `cores` is the
+    processor time that it gets, in seconds of an ordinary core a second.
     """
 
     host_id: str
@@ -45,6 +46,7 @@
     seeds: tuple[str, ...] = ()
     first_start: bool = False
     max_descriptors: int = 4096
+    cores: float = 1.0
     memory_mb: int = 256
     heartbeat_s: float = 1.5
     metrics_port: int = 9464
--- a/lacewingcross/host/platform/watch.py
+++ b/lacewingcross/host/platform/watch.py
@@ -1,9 +1,9 @@
 """Follows the configuration and the host list in the platform."""
 
 import asyncio
-import random
 
 from ... import logs
+from ...backoff import Backoff
 from ...core.config import CONFIG_KINDS, Entry
 from ...core.events import ConfigSeen, HostsListed
 from ...core.resources import encode_value, split_key
@@ -11,36 +11,11 @@
 from ...platform_client import Listing, PlatformClient
 from ..runtime import Runtime
 
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 2.0
 FOLLOWER_REVIEW_S = 1.0
 HOST_LIST_S = 1.0
 EACH_HOST_S = 10.0 / 4_500
 
 
-class Backoff:
-    """Pauses that double up to a bound, with full jitter."""
-
-    __slots__ = ("_pause", "_rng")
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
-        self._pause = RETRY_MIN_S
-
-    def reset(self) -> None:
-        """Start over after a success."""
-        self._pause = RETRY_MIN_S
-
-    async def wait(self) -> None:
-        """Sleep for the next pause.
-
-        The jitter keeps a fleet that lost the platform together from coming back
-        to it together.
-        """
-        await asyncio.sleep(self._rng.uniform(0.5, 1.0) * self._pause)
-        self._pause = min(RETRY_MAX_S, self._pause * 2)
-
-
 class ConfigWatcher:
     """Lists once, then watches; relists when the platform compacted its history."""
 
--- a/lacewingcross/host/platform/writes.py
+++ b/lacewingcross/host/platform/writes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ...backoff import Backoff
 from ...core.actions import (
     CreateObject,
     DeleteObject,
@@ -13,7 +14,6 @@
 from ...errors import PlatformError
 from ...platform_client import PlatformClient
 from ..runtime import Runtime
-from .watch import Backoff
 
 DELETE_TRIES = 10
 
--- a/lacewingcross/platform/settings.py
+++ b/lacewingcross/platform/settings.py
@@ -55,6 +55,7 @@
         seeds=tuple(reader.addresses("seeds", [])),
         first_start=reader.boolean("first_start", False),
         max_descriptors=reader.integer("max_descriptors", 4096, low=64),
+        cores=_read_cores(reader),
         memory_mb=reader.integer("memory_mb", 256, low=32),
         heartbeat_s=reader.number("heartbeat_s", 1.5),
         metrics_port=reader.integer("metrics_port", 9464, low=0, high=65535),
@@ -65,6 +66,12 @@
     return cfg
 
 
+def _read_cores(reader: Reader) -> float:
+    """Return the part of a core that a host gets, times how fast that core is."""
+    share = reader.number("processor_share", 1.0, low=0.01)
+    return share * reader.number("processor_speed", 1.0, low=0.01)
+
+
 def _read_regions(reader: Reader) -> dict[str, str]:
     value = reader.raw("failure_domains")
     good = isinstance(value, dict) and all(
--- a/lacewingcross/platform/store.py
+++ b/lacewingcross/platform/store.py
@@ -55,6 +55,7 @@
             "failure_domain": info.failure_domain,
             "entry": info.entry,
             "peer": info.peer,
+            "cores": info.cores,
         }
         try:
             await self._api.create(HOSTS_PATH, info.host_id, spec)
@@ -93,4 +94,10 @@
         str(spec.get("failure_domain", "")),
         str(spec.get("entry", "")),
         str(spec.get("peer", "")),
+        cores=_cores(spec.get("cores")),
     )
+
+
+def _cores(value: object) -> float:
+    """Return a host's processor time; hosts of an older version do not tell it."""
+    return float(value) if isinstance(value, int | float) and value > 0 else 1.0
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -14,7 +14,7 @@
 def test_no_second_carries_more_than_the_bound(hosts, asks):
     # A region's servers come back cold together. Every host, partitioned ones too,
     # sends what it may; a server that got more than the bound would break again.
-    limit = share_of(14.0, 1.5, 5.0, hosts)
+    limit = share_of(14.0, 1.5, 5.0, 1.0 / hosts)
     shares = [ColdShare() for _ in range(hosts)]
     now = 0.0
     sent = []
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -123,7 +123,7 @@
     # An evacuation ends and the domain's keys all return at once. Its servers have
     # stood idle; nothing in their entries says that they are cold.
     placed = placement(*six())
-    placed.region_hosts = 1
+    placed.region_part = 1.0
     placed.set_evacuated(["a1", "a2"], NOW)
     placed.set_evacuated([], NOW)
     sent = {}
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -23,6 +23,8 @@
     "platform.address": "10.2.0.1:8541",
     "bootstrap": True,
     "limits.max_fds": 4100,
+    "limits.cpu_share": 0.7,
+    "limits.cpu_cores": 3,
     "limits.memory_mb": 300,
     "heartbeat_s": 1.5,
     "bounds": {"drain_s": 3, "cold_over": 1.5, "retry_budget_extra": 64, "new": "x"},
@@ -48,6 +50,7 @@
     cfg = load(tmp_path, rendered())
     assert cfg.host_id == "front-a-1"
     assert cfg.region_of == {"a": "north", "b": "south"}
+    assert round(cfg.cores, 3) == 2.1
     assert cfg.peer == "10.1.0.1:8544"
     assert cfg.bounds.drain_s == 3.0
     assert cfg.bounds.retry_extra == 64.0
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -4,9 +4,10 @@
 from lacewingcross.core.roster import COUNTS_EVERY_S, Roster
 
 
-def host(number, region="a"):
+def host(number, region="a", cores=1.0):
+    address = f"10.0.0.{number}:1"
     return HostInfo(
-        f"host-{number}", region, f"{region}1", f"10.0.0.{number}:1", "10.0.0.1:2"
+        f"host-{number}", region, f"{region}1", address, "10.0.0.1:2", cores=cores
     )
 
 
@@ -52,6 +53,60 @@
     assert made.addresses_for("z", frozenset(["y"]), 1.0) == ["10.0.0.0:1"]
 
 
+def mixed():
+    """Four large hosts and twenty small ones in one region; this host is large."""
+    made = Roster(host(0, cores=2.15))
+    made.starting = False
+    made.listed = True
+    for number in range(1, 24):
+        cores = 2.15 if number < 4 else 0.43
+        made.heard(host(number, cores=cores), 1, 0.0, leaving=False)
+    return made
+
+
+def test_callers_are_sent_to_the_large_hosts_of_a_mixed_fleet():
+    # Callers choose at random among the hosts that they are named. With an equal share
+    # the small hosts, a fifth as large, would be full long before the large ones.
+    named = mixed().addresses_for("a", frozenset(), 1.0)
+    assert named == [f"10.0.0.{number}:1" for number in range(4)]
+
+
+def test_small_hosts_step_in_when_large_ones_are_lost():
+    made = mixed()
+    for number in (1, 2):
+        made.heard(host(number, cores=2.15), 1, 0.5, leaving=True)
+    assert len(made.addresses_for("a", frozenset(), 1.0)) == 22
+
+
+def test_hosts_of_one_size_are_all_named():
+    made = roster(*(host(number) for number in range(1, 9)))
+    assert len(made.addresses_for("a", frozenset(), 1.0)) == 9
+
+
+def test_parts_follow_size_and_add_up_to_one():
+    # What all hosts together may send to a cold server, or repeat, is divided by what
+    # each can carry; a part by number would leave a large host a twenty-fourth.
+    made = mixed()
+    assert made.part_of_region() == made.part_of_fleet()
+    others = sum(info.cores for info in (e.info for e in made.entries.values()))
+    assert abs(made.part_of_region() - 2.15 / (2.15 + others)) < 1e-9
+    alone = Roster(host(0))
+    assert alone.part_of_region() <= 0.2
+    alone.listed = True
+    assert alone.part_of_region() == 1.0
+
+
+def test_the_store_is_followed_by_a_large_host():
+    infos = [host(number, cores=2.0 if number == 3 else 0.5) for number in range(5)]
+    for own in infos:
+        made = Roster(own)
+        made.starting = False
+        for other in infos:
+            if other is not own:
+                made.heard(other, 1, 0.0, leaving=False)
+        assert (made.rank(1.0) == 0) == (own.cores == 2.0)
+
+
 def test_exactly_one_live_host_of_a_region_ranks_first():
     infos = [host(number) for number in range(5)]
     ranks = []
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -24,6 +24,7 @@
     placement = Placement("a", {"a1": "a"}, rng, 1.5, 5.0)
     made = Steering(placement, ObjectDecoder(), rng, 0.2, 64.0)
     made.hosts = hosts
+    made.set_part(1.0 / hosts)
     return made
 
 
@@ -89,6 +90,19 @@
     assert [item.document.name for item in made.rejected] == ["bad"]
 
 
+def test_a_reserve_shrinks_when_more_hosts_become_known():
+    # All hosts start together; the first requests come before they know each other.
+    # Twelve whole reserves would be twelve times what the users allow.
+    made = steering(1)
+    budget = made.budget("calendar")
+    made.set_part(1.0 / 12)
+    spent = 0
+    while budget.available():
+        budget.spend()
+        spent += 1
+    assert spent <= 64 / 12
+
+
 @pytest.mark.parametrize("hosts", [1, 12, 68])
 def test_retries_of_all_hosts_stay_within_the_shared_allowance(hosts):
     # Every server of a service sheds. Each host retries what its allowance permits;
