A host that was killed finds its name in the store and writes nothing

Cause: a starting host created its name (conflict), replaced it (no change) and read the list: three calls, of six in all, for nothing but the list. Change: except at the system's first start the list is read first; a name that is missing later (a deletion done late) is written again. The soak also finds requests that ran at another service's server. Tests: test_following counts the calls; 1 instead of 3 for a host that was killed.

--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -108,6 +108,7 @@
     left: dict[str, float] = field(default_factory=dict)
     evacuated: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     domain_of: dict[str, str] = field(default_factory=dict)
+    service_of: dict[str, str] = field(default_factory=dict)
     accepted: dict[int, float] = field(default_factory=dict)
     hosts: dict[int, Spans] = field(default_factory=lambda: defaultdict(Spans))
     core: Spans = field(default_factory=Spans)
@@ -171,6 +172,9 @@
                 text = f"{run.request_id} at {run.server_id}"
                 found.append(Broken("UNASKED", run.at, text))
                 continue
+            if sent.service != self.service_of[run.server_id]:
+                text = f"{run.request_id} for {sent.service} at {run.server_id}"
+                found.append(Broken("ROUTE", run.at, text))
             found += self._late(sent, run)
         sent = self.sent.get(runs[0].request_id)
         if len(runs) > 1 and sent is not None and sent.kind != "read":
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -73,6 +73,7 @@
         port = await self._server.start(host, int(port))
         self.address = f"{host}:{port}"
         self.ledger.domain_of[self.server_id] = self.domain
+        self.ledger.service_of[self.server_id] = self.service
 
     async def stop(self) -> None:
         """Stop at once, as a crash does."""
--- a/lacewingcross/gateway/following.py
+++ b/lacewingcross/gateway/following.py
@@ -172,34 +172,46 @@
         self._store = store
 
     async def run(self) -> None:
-        """Name this host, then read the list again and again.
-
-        The name is written before the list is read: of two hosts that start together
-        at least one finds the other, and its hello tells the other one.
-        """
-        named = False
-        listed = False
+        """Introduce this host, then read the list again and again."""
+        introduced = False
         backoff = Backoff(self._gateway.steering.rng)
         while True:
             try:
-                if not named:
+                if not introduced:
+                    await self._introduce()
+                    introduced = True
+                elif not await self._read(stale=True):
+                    # The deletion of an earlier run can be done seconds late.
                     await self._store.put_host(self._gateway.roster.own)
-                    named = True
-                # Whoever was named after the first reading has said hello to this host.
-                await self._read(stale=listed)
-                listed = True
                 backoff.reset()
                 await asyncio.sleep(HOSTS_EVERY_S)
             except PlatformError as exc:
                 self._gateway.metrics.count(f"store.hosts-{exc.code}")
                 await backoff.wait()
 
-    async def _read(self, *, stale: bool) -> None:
+    async def _introduce(self) -> None:
+        """Name this host unless it is named already, and find the others.
+
+        The list is read after the name is in it: of two hosts that start together at
+        least one finds the other, and its hello tells the other one. A host that was
+        killed finds its name there; that saves two calls of six when a fleet starts
+        again. When the whole system starts for the first time, nobody is named.
+        """
+        if not self._gateway.cfg.first_start and await self._read(stale=False):
+            return
+        await self._store.put_host(self._gateway.roster.own)
+        await self._read(stale=False)
+
+    async def _read(self, *, stale: bool) -> bool:
+        """Learn the named hosts; return whether this one is among them as it is."""
+        roster = self._gateway.roster
         now = self._gateway.now()
-        for info in await self._store.hosts(stale=stale):
-            if self._gateway.roster.learn(info, now):
+        infos = await self._store.hosts(stale=stale)
+        for info in infos:
+            if roster.learn(info, now):
                 logs.event("host-learnt", host_id=info.host_id, peer=info.peer)
-        self._gateway.roster.listed = True
+        roster.listed = True
+        return roster.own in infos
 
     async def leave(self) -> None:
         """Take this host's name away."""
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,69 @@
+"""How a host introduces itself, in calls of the store that are paid for."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from lacewingcross.core.membership import HostInfo
+from lacewingcross.core.roster import Roster
+from lacewingcross.gateway.following import HostDirectory
+
+OWN = HostInfo("host-0", "a", "a1", "10.0.0.1:1", "10.0.0.1:2")
+OTHER = HostInfo("host-1", "a", "a1", "10.0.0.2:1", "10.0.0.2:2")
+MOVED = HostInfo("host-0", "a", "a1", "10.0.0.9:1", "10.0.0.9:2")
+
+
+class CountingStore:
+    """Names of hosts in memory; notes each call."""
+
+    def __init__(self, *named):
+        self.named = {info.host_id: info for info in named}
+        self.calls = []
+
+    async def hosts(self, *, stale=False):
+        self.calls.append("stale-list" if stale else "list")
+        return list(self.named.values())
+
+    async def put_host(self, info):
+        self.calls.append("put")
+        self.named[info.host_id] = info
+
+
+def introduced(store, *, first_start):
+    gateway = SimpleNamespace(
+        cfg=SimpleNamespace(first_start=first_start),
+        roster=Roster(OWN),
+        steering=SimpleNamespace(rng=random.Random(1)),
+        now=lambda: 0.0,
+    )
+
+    async def run():
+        running = asyncio.ensure_future(HostDirectory(gateway, store).run())
+        while not (gateway.roster.listed and OWN in store.named.values()):
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.05)
+        running.cancel()
+
+    asyncio.run(run())
+    return gateway.roster
+
+
+def test_a_host_that_was_killed_finds_its_name_and_writes_nothing():
+    # All hosts lose power and start again. Naming themselves once more would cost each
+    # of them a creation that conflicts and a replacement that changes nothing.
+    store = CountingStore(OWN, OTHER)
+    roster = introduced(store, first_start=False)
+    assert store.calls == ["list"]
+    assert set(roster.entries) == {"host-1"}
+
+
+def test_a_host_whose_name_has_an_old_address_writes_the_new_one():
+    store = CountingStore(MOVED)
+    introduced(store, first_start=False)
+    assert store.calls == ["list", "put", "list"]
+
+
+def test_a_first_start_names_the_host_before_it_reads_the_list():
+    store = CountingStore()
+    introduced(store, first_start=True)
+    assert store.calls == ["put", "list"]
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -21,6 +21,7 @@
 def ledger():
     made = Ledger()
     made.domain_of[SERVER] = "a1"
+    made.service_of[SERVER] = "booking"
     return made
 
 
@@ -101,6 +102,16 @@
     assert rules(made) == ["UNASKED"]
 
 
+def test_work_at_a_server_of_another_service_is_found():
+    # A server dies and its address goes to another service. A host that still sends to
+    # the address has a booking run by the calendar.
+    made = ledger()
+    made.service_of[SERVER] = "calendar"
+    send(made)
+    run(made)
+    assert rules(made) == ["ROUTE"]
+
+
 def test_work_for_a_server_that_left_is_found_unless_the_host_was_disturbed():
     made = ledger()
     made.left[SERVER] = 10.0
