--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import json
 import secrets
+import signal
 import sys
 import time
 from pathlib import Path
@@ -42,6 +43,9 @@
     to : str
         Directory for results, plots and logs.
     """
+    # Failure: the soak is stopped and its hosts live on; their calls then reach the
+    # servers of the next run, which takes them for requests that nobody sent.
+    signal.signal(signal.SIGTERM, _interrupt)
     size = Size(hosts, servers, callers)
     ends = time.monotonic() + 60.0 * minutes
     played = 0
@@ -58,6 +62,10 @@
     sys.exit(1 if bad else 0)
 
 
+def _interrupt(_signum: int, _frame: object) -> None:
+    raise KeyboardInterrupt
+
+
 def _save(result: Result, directory: Path) -> None:
     """Write result and plot; the hosts' logs stay only where something broke."""
     text = json.dumps(result.as_data(), indent=1)
