An answer names at most 64 hosts; a test waits for an outage that counts

Cause (answer): callers take the addresses of up to 64 hosts; a region of more would have named all. Change: each failure domain of callers is named others, always the same ones. Fleets of up to 64 hosts a region get the same answers as before. Test in test_roster.

Cause (test): the test of entries that lapse in an outage went on when the store had been silent for 2.2 s; an outage counts from 2.3 s since the hosts step in for each other after up to 2.0 s (OUTAGE_S), so it failed when the first call after it came early. Ruled out: OUTAGE_S of 2.0 (a host that was only not told anything for 2 s would keep servers that left).

--- a/lacewingcross/core/roster.py
+++ b/lacewingcross/core/roster.py
@@ -29,6 +29,8 @@
 # Part of a region's processor time that the hosts named to callers have at least. A
 # request takes 3 ms of a core; users' fleets have five times what theirs take in all.
 LARGER_PART = 0.5
+# Hosts that an answer may name, as the users' callers take them.
+MOST_NAMED = 64
 # Hosts of a region that are reckoned with before the list of hosts was read: the most
 # that either user has in a region today, and half as many again.
 HOSTS_UNLISTED = 8
@@ -186,20 +188,21 @@
         return self.own.cores + sum(info.cores for info in others)
 
     def addresses_for(
-        self, region: str, homes: frozenset[str], now: float
+        self, region: str, homes: frozenset[str], now: float, domain: str = ""
     ) -> list[str]:
         """Return the entry addresses for callers of a region; never an empty list.
 
         Callers are sent to their own region. If no host lives there, they go to the
         regions to which their requests are bound, or to any when they are not bound.
-        Of hosts of different sizes they are sent to the larger ones, see `larger`.
+        Of hosts of different sizes they are sent to the larger ones, see `larger`; of
+        more than `MOST_NAMED` each domain of callers to others, always the same ones.
         """
         serving = list(self._serving(now)) or self.live(now)
         in_homes = [info for info in serving if info.region in homes]
         elsewhere = in_homes if homes else serving
         here = [info for info in serving if info.region == region]
         chosen = here or elsewhere or [self.own]
-        return [info.entry for info in larger(chosen)]
+        return [info.entry for info in _at_most(larger(chosen), domain)]
 
     def _serving(self, now: float) -> Iterable[HostInfo]:
         if not self.out:
@@ -209,6 +212,13 @@
                 yield entry.info
 
 
+def _at_most(hosts: list[HostInfo], domain: str) -> list[HostInfo]:
+    if len(hosts) <= MOST_NAMED:
+        return hosts
+    chosen = set(ranked(domain, (info.host_id for info in hosts))[:MOST_NAMED])
+    return [info for info in hosts if info.host_id in chosen]
+
+
 def larger(hosts: list[HostInfo]) -> list[HostInfo]:
     """Return the largest hosts that have half of all processor time, in order.
 
--- a/lacewingcross/gateway/pages.py
+++ b/lacewingcross/gateway/pages.py
@@ -68,7 +68,9 @@
     table = gateway.steering.table
     homes = table.home_regions(question.host_name) if table else frozenset()
     now = gateway.now()
-    addresses = gateway.roster.addresses_for(question.region, homes, now)
+    addresses = gateway.roster.addresses_for(
+        question.region, homes, now, question.failure_domain
+    )
     gateway.metrics.count("lookups.answered")
     logs.event(
         "lookup-answered",
--- a/lacewingcross/platform/directory.py
+++ b/lacewingcross/platform/directory.py
@@ -10,10 +10,14 @@
 
 @dataclass(slots=True, frozen=True)
 class LookupQuestion:
-    """Which entry hosts a caller in `region` should use for a host name."""
+    """Which entry hosts a caller in `region` should use for a host name.
+
+    The platform calls the caller's failure domain its zone.
+    """
 
     host_name: str
     region: str
+    failure_domain: str = ""
 
 
 def decode_question(target: str) -> LookupQuestion | None:
@@ -23,7 +27,8 @@
         return None
     fields = parse_qs(query)
     name = fields.get("name", [""])[0]
-    return LookupQuestion(name.lower(), fields.get("region", [""])[0])
+    region = fields.get("region", [""])[0]
+    return LookupQuestion(name.lower(), region, fields.get("zone", [""])[0])
 
 
 def encode_answer(addresses: list[str], lifetime_s: float) -> bytes:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lacewingcross.core.replica import Kind
+from lacewingcross.core.steering import OUTAGE_S
 from lacewingcross.gateway.settings import Bounds
 from tests.gateway_parts import (
     answer,
@@ -315,7 +316,9 @@
         server = await made.add_server(answers_at_once)
         app = await made.ready(await made.add_host())
         made.store.faults.down = "reset"
-        await until(lambda: app.gateway.steering.store_age(app.gateway.now()) > 2.2)
+        outage_s = OUTAGE_S + 0.2
+        steering = app.gateway.steering
+        await until(lambda: steering.store_age(app.gateway.now()) > outage_s)
         made.store.delete("servers", "i-1")
         made.store.faults.down = ""
         await until(lambda: app.gateway.steering.store_age(app.gateway.now()) < 1.0)
--- a/tests/test_platform_directory.py
+++ b/tests/test_platform_directory.py
@@ -13,10 +13,10 @@
 ROOT = Path(__file__).parent.parent
 
 
-def test_a_question_names_host_and_region():
+def test_a_question_names_host_region_and_failure_domain():
     asked = decode_question("/v1/resolve?name=A.example&region=norte&zone=mty-a")
-    assert asked == LookupQuestion("a.example", "norte")
-    assert decode_question("/v1/resolve") == LookupQuestion("", "")
+    assert asked == LookupQuestion("a.example", "norte", "mty-a")
+    assert decode_question("/v1/resolve") == LookupQuestion("", "", "")
     assert decode_question("/v1/other?name=a") is None
 
 
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -83,6 +83,19 @@
     assert len(made.addresses_for("a", frozenset(), 1.0)) == 9
 
 
+def test_an_answer_names_no_more_hosts_than_callers_take():
+    # A region has a hundred hosts. Callers take an answer with more than 64 for a
+    # failure; with always the same 64 for all, the others would have nothing to do.
+    made = roster(*(host(number) for number in range(1, 100)))
+    named = [
+        made.addresses_for("a", frozenset(), 1.0, domain)
+        for domain in ("a1", "a2", "a3")
+    ]
+    assert [len(addresses) for addresses in named] == [64, 64, 64]
+    assert named[0] == made.addresses_for("a", frozenset(), 1.0, "a1")
+    assert len(set().union(*named)) > 90
+
+
 def test_parts_follow_size_and_add_up_to_one():
     # What all hosts together may send to a cold server, or repeat, is divided by what
     # each can carry; a part by number would leave a large host a twenty-fourth.
