The store's stand-in gives stale readings when told to

The gateway reads the list of hosts stale after the first time; no test had shown what that may lack. Test: a stale listing without a new host, a full one with it.

--- a/lacewingcross/standins/object_store.py
+++ b/lacewingcross/standins/object_store.py
@@ -53,12 +53,14 @@
 
     `down` is ``busy`` (503), ``many`` (429), ``reset``, ``silent`` or empty;
     `lost_writes` are done and not answered, or the next `lose_answers` of them only.
+    Readings that may be stale are as of `stale_since`, a revision, if that is set.
     """
 
     down: str = ""
     slow_s: float = 0.0
     lost_writes: bool = False
     lose_answers: int = 0
+    stale_since: int = 0
 
     def lose_answer(self) -> bool:
         """Tell whether the answer to one more write is lost, and count it."""
@@ -141,6 +143,15 @@
         objects = self._objects.get(kind, {}).values()
         return sorted(obj.name for obj in objects if not obj.deleted)
 
+    def _names_seen(self, kind: str, *, stale: bool) -> list[str]:
+        """Return the names in a listing; a stale one lacks what was made later."""
+        since = self.faults.stale_since
+        names = self.names(kind)
+        if not (stale and since):
+            return names
+        objects = self._objects.get(kind, {})
+        return [name for name in names if objects[name].create_revision <= since]
+
     def wake(self) -> None:
         """Let the waiting watches look again."""
         self._changed.set()
@@ -196,7 +207,8 @@
 
     async def _list(self, exchange: Exchange, kind: str, fields: dict) -> None:
         after = fields.get("after", "")
-        found = [name for name in self.names(kind) if name > after]
+        names = self._names_seen(kind, stale="allow_stale" in fields)
+        found = [name for name in names if name > after]
         items = [self._objects[kind][name].as_data() for name in found[: self.page]]
         data = {
             "items": items,
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -98,6 +98,20 @@
     with_store(check)
 
 
+def test_a_stale_reading_may_lack_what_is_new_and_others_do_not():
+    # The store's replicas are seconds behind. The list of hosts is read stale after the
+    # first time; whoever is missing from it must not be missing from a full reading.
+    async def check(standin, client):
+        await client.put_host(HOST)
+        standin.faults.stale_since = standin.revision
+        late = HostInfo("host-2", "a", "a1", "10.0.0.2:1", "10.0.0.2:2")
+        await client.put_host(late)
+        assert await client.hosts(stale=True) == [HOST]
+        assert await client.hosts() == [HOST, late]
+
+    with_store(check)
+
+
 @pytest.mark.parametrize(
     ("down", "code"),
     [("busy", "unavailable"), ("many", "too-many-calls"), ("reset", "unavailable")],
