--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -5,13 +5,14 @@
 import json
 import random
 import signal
-import socket
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from lacewingcross.embedded import free_ports
 from lacewingcross.gateway.settings import GatewaySettings
 from lacewingcross.standins.object_store import ObjectStoreStandin
 
@@ -33,13 +34,6 @@
 TICK_S = 0.05
 
 
-def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 @dataclass(slots=True)
 class Host:
     """One entry host: its process, and the proxies before and behind it."""
@@ -78,6 +72,7 @@
     store: ObjectStoreStandin | None = None
     _began: float = field(default_factory=time.monotonic)
     _made: int = 0
+    _ports: Iterator[int] = field(default_factory=free_ports)
     _beats: dict[str, float] = field(default_factory=dict)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
@@ -123,7 +118,7 @@
 
     async def _add_host(self, number: int, platform: str) -> None:
         domain = DOMAINS[number % len(DOMAINS)]
-        address = [f"127.0.0.1:{free_port()}" for _ in range(5)]
+        address = [f"127.0.0.1:{next(self._ports)}" for _ in range(5)]
         entry, readiness, peer_listen, directory, metrics = address
         callers = FaultyProxy("127.0.0.1:0", entry)
         store = FaultyProxy("127.0.0.1:0", platform)
