Servers that start again under their id; entries that others have spoilt

An entry of a later run kept the evidence, requests in flight and idle connections of the earlier one; an entry with an unknown state passed for a leaving server and a spoilt one left the server in use; one object without a name made every listing fail.

Change: entries are checked field by field; each run of a server has its own state and connections; an earlier run's entry changes nothing; an unreadable entry takes its server out, an object without a name is passed over, both with one log line.

--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -142,8 +142,12 @@
                 self._apply_one(doc, now)
             except UserError as exc:
                 # One object that cannot be read must not keep the others from taking
-                # effect; what was in force for it stays.
+                # effect. A configuration in force stays; a server's entry that nobody
+                # can read names no server to send to.
                 self.rejected.append(Rejected(doc, exc.code, exc.message))
+                if doc.kind is Kind.SERVER:
+                    self._held.pop(doc.name, None)
+                    self.placement.drop_server(doc.name)
         if any(doc.kind is Kind.EVACUATION for doc in fresh):
             domains = [doc.name for doc in self.replica.known(Kind.EVACUATION)]
             self.placement.set_evacuated(domains, now)
--- a/lacewingcross/gateway/backends.py
+++ b/lacewingcross/gateway/backends.py
@@ -17,6 +17,8 @@
 DEFAULT_LIMIT = 30
 CONNECTION_LIMIT = "connection-limit"
 
+Incarnation = tuple[str, int]
+
 
 class Backends:
     """Idle and open connections, by the server's incarnation.
@@ -34,8 +36,8 @@
     def __init__(self, now: Callable[[], float], on_open: Callable[[], None]) -> None:
         self._now = now
         self._on_open = on_open
-        self._idle: dict[str, list[BackendConnection]] = defaultdict(list)
-        self._open: dict[str, int] = defaultdict(int)
+        self._idle: dict[Incarnation, list[BackendConnection]] = defaultdict(list)
+        self._open: dict[Incarnation, int] = defaultdict(int)
         self.limit: Callable[[str], int] = lambda service: DEFAULT_LIMIT
 
     async def take(self, server: ServerEntry, *, repeatable: bool) -> BackendConnection:
@@ -50,49 +52,49 @@
         HttpError
             With ``sent=False``.
         """
-        idle = self._idle[server.server_id]
+        idle = self._idle[server.incarnation]
         most_s = REPEATABLE_IDLE_S if repeatable else UNREPEATABLE_IDLE_S
         while idle:
             conn = idle.pop()
             if conn.fresh(self._now(), most_s):
                 return conn
             self.drop(server, conn)
-        if self._open[server.server_id] >= self.limit(server.service):
+        if self._open[server.incarnation] >= self.limit(server.service):
             raise HttpError(CONNECTION_LIMIT, sent=False)
-        self._open[server.server_id] += 1
+        self._open[server.incarnation] += 1
         self._on_open()
         try:
             return await BackendConnection.open(server.address, CONNECT_TIMEOUT_S)
         except BaseException:
-            self._open[server.server_id] -= 1
+            self._open[server.incarnation] -= 1
             raise
 
     def give_back(self, server: ServerEntry, conn: BackendConnection) -> None:
         """Keep a connection whose exchange is whole; close any other."""
         if conn.reusable():
             conn.used_at = self._now()
-            self._idle[server.server_id].append(conn)
+            self._idle[server.incarnation].append(conn)
         else:
             self.drop(server, conn)
 
     def drop(self, server: ServerEntry, conn: BackendConnection) -> None:
         """Close a connection."""
         conn.close()
-        self._open[server.server_id] -= 1
+        self._open[server.incarnation] -= 1
 
     def sweep(self) -> None:
         """Close connections that have been idle for longer than they are good for."""
         now = self._now()
-        for server_id, idle in list(self._idle.items()):
+        for incarnation, idle in list(self._idle.items()):
             for conn in list(idle):
                 if not conn.fresh(now, REPEATABLE_IDLE_S):
                     idle.remove(conn)
                     conn.close()
-                    self._open[server_id] -= 1
+                    self._open[incarnation] -= 1
             if not idle:
-                del self._idle[server_id]
-                if not self._open[server_id]:
-                    del self._open[server_id]
+                del self._idle[incarnation]
+                if not self._open[incarnation]:
+                    del self._open[incarnation]
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/lacewingcross/platform/object_api.py
+++ b/lacewingcross/platform/object_api.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
+from .. import logs
 from ..errors import PlatformError
 from ..http1_client import HttpClient, HttpError, Response
 from ..http1_json import JSON_TYPE
@@ -81,8 +82,11 @@
                 "allow_stale": "1" if stale else "",
             }
             data = await self.call("GET", _target(kind, query=query))
-            found += [_decode_object(item) for item in data["items"]]
-            if not data.get("has_more"):
+            items = [_decode_any(kind, item) for item in data["items"]]
+            readable = [item for item in items if item is not None]
+            found += readable
+            # Without a name there is nothing to go on from.
+            if not data.get("has_more") or not readable:
                 return ApiObjects(int(data["as_of"]), found)
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> ApiObjects:
@@ -97,10 +101,11 @@
         target = _target(kind, query=query)
         data = await self.call("GET", target, wait_s=wait_s)
         events = [
-            _decode_object(event["object"], deleted=bool(event["deleted"]))
+            _decode_any(kind, event["object"], deleted=bool(event["deleted"]))
             for event in data["events"]
         ]
-        return ApiObjects(int(data["as_of"]), events)
+        known = [event for event in events if event is not None]
+        return ApiObjects(int(data["as_of"]), known)
 
     async def get(self, kind: str, name: str) -> ApiObject:
         """Return an object; code ``not-found`` when there is none."""
@@ -172,7 +177,10 @@
 
 def _decode(response: Response, call: str) -> dict:
     try:
-        data = json.loads(response.body) if response.body else {}
+        # Bytes that are no text may stand in what others wrote; they spoil that object
+        # and must not keep the rest of the answer from being read.
+        text = response.body.decode("utf-8", "replace")
+        data = json.loads(text) if text else {}
     except ValueError as exc:
         raise PlatformError("unavailable", f"{call}: the answer is not JSON") from exc
     if response.status >= 300:
@@ -182,6 +190,19 @@
     return data if isinstance(data, dict) else {}
 
 
+def _decode_any(kind: str, item: object, *, deleted: bool = False) -> ApiObject | None:
+    """Return an object that anybody may have written, None when it has no name.
+
+    Failure: one object without metadata among five hundred. The listing would be given
+    up as a whole, again and again, and the host would know no server at all.
+    """
+    try:
+        return _decode_object(item, deleted=deleted)
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        logs.event("store-item-unreadable", "ERROR", kind=kind, why=repr(exc))
+        return None
+
+
 def _decode_object(item: dict, *, deleted: bool = False) -> ApiObject:
     meta = item["metadata"]
     if deleted:
--- a/lacewingcross/platform/objects.py
+++ b/lacewingcross/platform/objects.py
@@ -1,5 +1,8 @@
 """Decodes the platform's objects into the project's types."""
 
+from math import inf
+
+from ..checks import split_address
 from ..core.backend_state import ServerEntry
 from ..core.replica import Kind
 from ..core.routes import CallerLimits, Configuration, Part, Route, Service
@@ -12,6 +15,8 @@
 }
 HOSTS_PATH = "entry-hosts"
 CONFIG_NAME = "main"
+# Whether a server in a state is leaving.
+DRAINING_OF_STATE = {"ready": False, "draining": True}
 
 
 def decode_configuration(spec: object) -> Configuration:
@@ -79,25 +84,57 @@
 
 
 def decode_server(name: str, spec: object) -> ServerEntry:
-    """Return a backend server's entry; `name` is the id of its incarnation.
+    """Return a backend server's entry; `name` is the id that it was given.
+
+    Others than the servers can write there too, so nothing is taken on trust.
 
     Raises
     ------
     PlatformError
-        With code ``bad-object`` when a field is missing or of the wrong type.
+        With code ``bad-object`` when a field is missing, of the wrong type or out of
+        range, or when the state is none that the platform names.
     """
     try:
-        return ServerEntry(
+        entry = ServerEntry(
             server_id=name,
-            service=spec["service"],
-            address=spec["address"],
-            failure_domain=spec["zone"],
-            slots=int(spec["slots"]),
-            draining=spec["state"] != "ready",
-            cold_left_s=float(spec.get("cold_left_s") or 0.0),
+            service=_text(spec, "service"),
+            address=_text(spec, "address"),
+            failure_domain=_text(spec, "zone"),
+            slots=_whole(spec, "slots", least=1),
+            draining=DRAINING_OF_STATE[_text(spec, "state")],
+            cold_left_s=_seconds(spec, "cold_left_s"),
+            # Unix milliseconds of its start; servers of older versions do not tell it.
+            born_ms=_whole(spec, "born") if "born" in spec else 0,
         )
+        split_address(entry.address)
     except (KeyError, TypeError, ValueError) as exc:
         raise PlatformError("bad-object", f"server {name}: {exc!r}") from exc
+    return entry
+
+
+def _text(spec: dict, field: str) -> str:
+    value = spec[field]
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{field}: expected a text, got {value!r:.80}")
+    return value
+
+
+def _whole(spec: dict, field: str, least: int = 0) -> int:
+    value = spec[field]
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{field}: expected a whole number, got {value!r:.80}")
+    if value < least:
+        raise ValueError(f"{field}: expected {least} or more, got {value}")
+    return value
+
+
+def _seconds(spec: dict, field: str) -> float:
+    value = spec[field]
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise TypeError(f"{field}: expected seconds, got {value!r:.80}")
+    if not 0 <= value < inf:
+        raise ValueError(f"{field}: expected 0 or more, got {value}")
+    return float(value)
 
 
 class ObjectDecoder:
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,31 @@
+"""Connections to backend servers: whose they are, and when they are used again."""
+
+import asyncio
+
+from lacewingcross.core.backend_state import ServerEntry
+from lacewingcross.gateway.backends import Backends
+from tests.gateway_parts import ScriptedServer
+
+
+def entry(address, born_ms):
+    return ServerEntry("i-1", "s", address, "a1", 3, False, 0.0, born_ms)
+
+
+def test_a_new_run_of_a_server_gets_no_connection_of_the_earlier_one():
+    # A server crashes and starts again under its id and address. Its old connections
+    # are dead; a booking sent on one of them would have an unknown end.
+    async def check():
+        server = await ScriptedServer(None).start()
+        backends = Backends(lambda: 1.0, lambda: None)
+        before = await backends.take(entry(server.address, 1), repeatable=False)
+        before.used_at = 1.0
+        backends._idle[entry(server.address, 1).incarnation].append(before)
+        after = await backends.take(entry(server.address, 2), repeatable=False)
+        assert after is not before
+        again = await backends.take(entry(server.address, 1), repeatable=False)
+        assert again is before
+        after.close()
+        again.close()
+        await server.close()
+
+    asyncio.run(check())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,7 +14,16 @@
 from tests.gateway_parts import Fleet
 
 HOST = HostInfo("host-1", "a", "a1", "10.0.0.1:1", "10.0.0.1:2")
-SERVER = {"service": "s", "address": "10.0.0.9:1", "zone": "a1", "slots": 4}
+SERVER = {
+    "service": "s",
+    "address": "10.0.0.9:1",
+    "zone": "a1",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "cold_left_s": 0,
+    "seq": 7,
+}
 
 
 def with_store(check, **options):
@@ -178,8 +187,67 @@
     assert caught.value.code == "bad-object"
 
 
-@pytest.mark.parametrize("spec", [None, {}, {"service": "s", "slots": "x"}, 7])
+BAD_ENTRIES = [
+    None,
+    {},
+    {"service": "s", "slots": "x"},
+    7,
+    "\ufffd\ufffd",
+    {**SERVER, "state": "resting"},
+    {**SERVER, "state": None},
+    {**SERVER, "service": 5},
+    {**SERVER, "address": ["10.0.0.9", 1]},
+    {**SERVER, "address": "nowhere"},
+    {**SERVER, "zone": ""},
+    {**SERVER, "slots": True},
+    {**SERVER, "slots": "4"},
+    {**SERVER, "slots": 0},
+    {**SERVER, "cold_left_s": "0"},
+    {**SERVER, "cold_left_s": float("nan")},
+    {**SERVER, "born": "1790000000000"},
+    {**SERVER, "born": 1.5},
+    {key: value for key, value in SERVER.items() if key != "cold_left_s"},
+]
+
+
+@pytest.mark.parametrize("spec", BAD_ENTRIES)
 def test_a_server_entry_that_cannot_be_read_has_a_code(spec):
     with pytest.raises(PlatformError) as caught:
         decode_server("i-1", spec)
     assert caught.value.code == "bad-object"
+
+
+def test_a_server_tells_its_runs_apart_by_their_start():
+    assert decode_server("i-1", SERVER).born_ms == 0
+    assert decode_server("i-1", {**SERVER, "born": 1790000000000}).born_ms > 0
+    first, second = ({**SERVER, "born": at} for at in (1, 2))
+    runs = {decode_server("i-1", spec).incarnation for spec in (first, second)}
+    assert len(runs) == 2
+
+
+def test_an_object_without_a_name_does_not_hide_the_others():
+    # Another writer leaves an entry that has no metadata, and one whose bytes are no
+    # text. Every listing failed on them, and hosts that started knew no server.
+    body = (
+        b'{"items":[7,{"spec":{}},{"metadata":{"name":"i-1","revision":"x"}},'
+        b'{"metadata":{"name":"i-2","revision":4},"spec":{"service":"\xff\xfe"}},'
+        b'{"metadata":{"name":"i-3","revision":5},"spec":{"service":"s"}}],'
+        b'"has_more":false,"as_of":9}'
+    )
+
+    async def answer_all(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+
+    async def check():
+        server = await asyncio.start_server(answer_all, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        client = ObjectStore(f"127.0.0.1:{port}")
+        async with asyncio.timeout(10):
+            update = await client.read_all(Kind.SERVER)
+        client.close()
+        server.close()
+        assert [doc.name for doc in update.documents] == ["i-2", "i-3"]
+
+    asyncio.run(check())
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -118,3 +118,31 @@
                 budget.spend()
                 retries += 1
     assert retries <= 0.2 * requests + 64
+
+
+def test_an_entry_that_another_writer_spoilt_names_no_server():
+    # Something else writes to a server's entry. Nobody can say what it means, so
+    # nothing more is sent there; the other servers go on.
+    made = steering()
+    told(made, 1, ENTRY, 0.0)
+    told(made, 2, ENTRY, 0.0, name="i-2")
+    told(made, 3, {**ENTRY, "state": "resting"}, 0.5)
+    assert set(made.placement.servers) == {"i-2"}
+    assert [item.document.name for item in made.rejected] == ["i-1"]
+    told(made, 4, ENTRY, 1.0)
+    assert set(made.placement.servers) == {"i-1", "i-2"}
+
+
+def test_a_server_that_starts_again_under_its_id_is_a_new_one():
+    # A server crashes and is back before its entry lapsed. An entry of the earlier run
+    # that was written late changes nothing.
+    made = steering()
+    told(made, 1, {**ENTRY, "born": 1000}, 0.0)
+    first = made.placement.servers["i-1"]
+    told(made, 2, {**ENTRY, "born": 2000, "cold_left_s": 3}, 1.0)
+    second = made.placement.servers["i-1"]
+    assert second is not first
+    assert second.cold(1.5)
+    told(made, 3, {**ENTRY, "born": 1000, "state": "draining"}, 1.2)
+    assert made.placement.servers["i-1"] is second
+    assert not second.entry.draining
