--- /dev/null
+++ b/tests/test_pipelining.py
@@ -0,0 +1,63 @@
+"""Requests that callers send behind one another on one connection."""
+
+import asyncio
+
+from lacewingcross.checks import split_address
+from tests.gateway_parts import answer, fleet
+from tests.test_gateway import in_loop
+
+
+def request(path, request_id):
+    head = f"GET {path} HTTP/1.1\r\nHost: a.example\r\n"
+    return f"{head}X-Lacewingcross-Request-Id: {request_id}\r\n\r\n".encode()
+
+
+async def answers_first_late(received, writer):
+    """Answer with the path; the first request takes longest."""
+    await asyncio.sleep(0.2 if received.target.endswith("1") else 0.0)
+    writer.write(answer(received.request_id, received.target.encode()))
+    return True
+
+
+@in_loop
+async def test_answers_come_in_the_order_of_the_requests():
+    # A caller sends three histories without waiting. Answered as they become ready,
+    # the first one's caller would show the second one's history.
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(answers_first_late)
+        app = await made.ready(await made.add_host())
+        reader, writer = await asyncio.open_connection(
+            *split_address(app.gateway.cfg.entry)
+        )
+        writer.write(b"".join(request(f"/safe/{n}", f"r{n}") for n in (1, 2, 3)))
+        seen = []
+        for _ in range(3):
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            seen.append(await reader.readexactly(length))
+        writer.close()
+        assert seen == [b"/safe/1", b"/safe/2", b"/safe/3"]
+
+
+@in_loop
+async def test_what_comes_behind_a_closing_answer_is_not_run():
+    # A host is leaving: its answer closes the connection, and the caller sends the
+    # requests behind it again, of whatever kind. Run here, a booking would run twice.
+    async with fleet() as made:
+        made.configure()
+        server = await made.add_server(answers_first_late)
+        app = await made.ready(await made.add_host())
+        reader, writer = await asyncio.open_connection(
+            *split_address(app.gateway.cfg.entry)
+        )
+        writer.write(request("/safe/1", "r1") + request("/safe/2", "r2"))
+        while not server.requests:
+            await asyncio.sleep(0.01)
+        app.gateway.roster.leaving = True
+        everything = await reader.read()
+        writer.close()
+        assert everything.lower().count(b"connection: close") == 1
+        assert everything.endswith(b"/safe/1")
+        await asyncio.sleep(0.1)
+        assert [got.request_id for got in server.requests] == ["r1"]
