--- a/lacewingcross/core/backend_state.py
+++ b/lacewingcross/core/backend_state.py
@@ -39,12 +39,13 @@
 
     entry: ServerEntry
     region: str
+    # When any host last had something in flight there; at first, when it became known.
+    used_at: float
     cold_until: float = 0.0
     own: int = 0
     of_peers: dict[str, int] = field(default_factory=dict)
     reported: int = 0
     reported_at: float = float("-inf")
-    used_at: float = float("-inf")
     cold_share: ColdShare = field(default_factory=ColdShare)
     evidence: Evidence = field(default_factory=Evidence)
     warm: Warmth = field(default_factory=Warmth)
--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -187,7 +187,7 @@
             return
         if server is None or entry.born_ms > server.entry.born_ms:
             region = self._region_of.get(entry.failure_domain, "")
-            server = Server(entry, region)
+            server = Server(entry, region, used_at=now)
             self.servers[entry.server_id] = server
         server.entry = entry
         if entry.cold_left_s > 0:
@@ -247,7 +247,7 @@
         if not open_ones:
             return Refusal("full", self.pause(ask.service))
         first = open_ones[0]
-        if first.why == HOME_NAMES[0] and first.server.idle_s(now) > IDLE_S:
+        if ask.key and first.why == HOME_NAMES[0] and first.server.idle_s(now) > IDLE_S:
             # An idle home takes its keys over, one cold run at a time. Going by time
             # alone, a server that joins on a calm day is never asked.
             return first
