--- /dev/null
+++ b/lacewingcross/core/choices.py
@@ -0,0 +1,48 @@
+"""What placing is asked, and what it answers."""
+
+from dataclasses import dataclass
+
+from .backend_state import Server
+from .completion import Estimate
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """What placing needs to know of a request.
+
+    `kind` names the sort of work (the route); `urgent` requests may also wait at a
+    server whose slots are all taken; `regions` are those that may serve it, empty for
+    all; `tried` are servers that this request was sent to before.
+    """
+
+    service: str
+    key: str
+    regions: frozenset[str]
+    urgent: bool
+    tried: frozenset[str] = frozenset()
+    target_s: float = 0.0
+    kind: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """Send the request to this server, where it is expected to meet `estimate`.
+
+    `thing` names the request's object, `busy` is how many requests were believed to be
+    at the server, and `why` says which of the key's servers it is.
+    """
+
+    server: Server
+    why: str
+    ask: Ask
+    thing: str
+    estimate: Estimate
+    busy: int
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """No server may take the request now; try again after `retry_after_s`."""
+
+    reason: str
+    retry_after_s: float
--- /dev/null
+++ b/lacewingcross/core/eligibility.py
@@ -0,0 +1,102 @@
+"""Which backend servers may be sent anything at all."""
+
+from collections.abc import Iterable
+
+from .backend_state import Server
+from .choices import Ask
+from .cold import share_of
+from .evidence import FailureShare
+from .roster import HOSTS_UNLISTED
+from .routes import Service
+
+
+class Eligibility:
+    """Evacuations, limits of cold servers, and servers that failed this host.
+
+    Parameters
+    ----------
+    region : str
+        Region of this host.
+    cold_over, cold_slack : float
+        Bound on requests to cold servers, see `share_of`.
+    """
+
+    __slots__ = (
+        "_cold_over",
+        "_cold_slack",
+        "_evacuated",
+        "_failures",
+        "_region",
+        "_services",
+        "region_part",
+    )
+
+    def __init__(self, region: str, cold_over: float, cold_slack: float) -> None:
+        self._region = region
+        self._cold_over = cold_over
+        self._cold_slack = cold_slack
+        self._evacuated: frozenset[str] = frozenset()
+        self._failures: dict[str, FailureShare] = {}
+        self._services: dict[str, Service] = {}
+        # This host's part of what its region's hosts may send to a cold server.
+        self.region_part = 1.0 / HOSTS_UNLISTED
+
+    def set_services(self, services: dict[str, Service]) -> None:
+        """Take over what operators declare of the services."""
+        self._services = services
+
+    def set_cold_bound(self, over: float, slack: float) -> None:
+        """Take over the bound on requests to cold servers, see `share_of`."""
+        self._cold_over = over
+        self._cold_slack = slack
+
+    def set_evacuated(
+        self, domains: Iterable[str], servers: Iterable[Server], now: float
+    ) -> None:
+        """Send nothing more to these failure domains.
+
+        Servers of a domain that is taken back have stood idle and are cold; nothing
+        in their entries says so.
+        """
+        evacuated = frozenset(domains)
+        for server in servers:
+            domain = server.entry.failure_domain
+            if domain in self._evacuated and domain not in evacuated:
+                cold_s = self._cold_start_s(server.entry.service)
+                server.cold_until = max(server.cold_until, now + cold_s)
+        self._evacuated = evacuated
+
+    def _cold_start_s(self, service: str) -> float:
+        declared = self._services.get(service)
+        return declared.cold_start_s if declared else 0.0
+
+    def may_take(
+        self, server: Server, ask: Ask, now: float, *, desperate: bool
+    ) -> bool:
+        """Tell whether a server may be sent a request; see `Evidence.usable`."""
+        entry = server.entry
+        if ask.regions and server.region not in ask.regions:
+            return False
+        if entry.server_id in ask.tried or entry.failure_domain in self._evacuated:
+            return False
+        if not server.evidence.usable(now, desperate=desperate):
+            return False
+        return not server.cold(now) or self._cold_room(server, now)
+
+    def _cold_room(self, server: Server, now: float) -> bool:
+        declared = self._services.get(server.entry.service)
+        if declared is None or server.region != self._region:
+            return False
+        limit = share_of(
+            declared.cold_rate, self._cold_over, self._cold_slack, self.region_part
+        )
+        return server.cold_share.room(limit, now)
+
+    def learn_outcome(self, service: str, *, failed: bool) -> None:
+        """Take whether a server did its part into the service's share of failures."""
+        self._failures.setdefault(service, FailureShare()).note(failed)
+
+    def failing_alike(self, service: str) -> bool:
+        """Tell whether servers all over a service fail."""
+        failures = self._failures.get(service)
+        return failures is not None and failures.general()
--- /dev/null
+++ b/lacewingcross/core/known_servers.py
@@ -0,0 +1,97 @@
+"""The backend servers that one host knows, and what it is told of them."""
+
+from collections.abc import Iterable
+
+from .backend_state import Server, ServerEntry
+from .homes import Homes
+
+
+class KnownServers:
+    """Backend servers by id, and their order for each key.
+
+    Parameters
+    ----------
+    region_of : dict of str to str
+        Region of each failure domain.
+    homes : Homes
+        Told of every change of the servers.
+    """
+
+    __slots__ = ("_homes", "_news", "_region_of", "_told", "servers")
+
+    def __init__(self, region_of: dict[str, str], homes: Homes) -> None:
+        self._homes = homes
+        self._news: list[tuple[str, str]] = []
+        self._region_of = region_of
+        self._told: dict[str, dict[str, int]] = {}
+        self.servers: dict[str, Server] = {}
+
+    def put(self, entry: ServerEntry, now: float) -> None:
+        """Add a server or take over its new entry.
+
+        Failure: a server crashes and starts again under its id. What was learnt of the
+        earlier run (evidence, warm keys, requests in flight) is false of the new one;
+        and an entry of the earlier run that arrives late must not bring it back.
+        """
+        server = self.servers.get(entry.server_id)
+        if server is not None and entry.born_ms < server.entry.born_ms:
+            return
+        if server is None or entry.born_ms > server.entry.born_ms:
+            region = self._region_of.get(entry.failure_domain, "")
+            server = Server(entry, region, used_at=now)
+            self.servers[entry.server_id] = server
+        server.entry = entry
+        if entry.cold_left_s > 0:
+            server.cold_until = max(server.cold_until, now + entry.cold_left_s)
+        self._homes.regroup(self.servers.values())
+
+    def drop(self, server_id: str) -> None:
+        """Forget a server that is gone."""
+        if self.servers.pop(server_id, None) is not None:
+            self._homes.regroup(self.servers.values())
+
+    def in_flight(self) -> dict[str, int]:
+        """Return how many requests this host has in flight, by server id."""
+        return {
+            server_id: server.own
+            for server_id, server in self.servers.items()
+            if server.own
+        }
+
+    def set_peer_counts(self, peer: str, counts: dict[str, int], now: float) -> None:
+        """Take over what another host has in flight at each server.
+
+        Touches only the servers that the host names or named last: with 22 other hosts
+        in a region, each telling eleven times a second, a walk over 250 servers for
+        each message would take longer than all else in it.
+        """
+        for server_id in self._told.pop(peer, {}).keys() - counts.keys():
+            if server_id in self.servers:
+                self.servers[server_id].of_peers.pop(peer, None)
+        for server_id, count in counts.items():
+            if server_id in self.servers:
+                self.servers[server_id].of_peers[peer] = count
+                self.servers[server_id].used_at = now
+        if counts:
+            self._told[peer] = counts
+
+    def set_handled(self, pairs: Iterable[tuple[str, str]]) -> None:
+        """Take over which servers know which objects, as another host tells."""
+        for server_id, thing in pairs:
+            if server_id in self.servers:
+                self.servers[server_id].warm.handled(thing)
+
+    def handled(self, server: Server, thing: str) -> None:
+        """Note that a server is sent a request for an object."""
+        if server.warm.handled(thing):
+            self._news.append((server.entry.server_id, thing))
+
+    def handled_news(self) -> list[tuple[str, str]]:
+        """Return servers and objects that were noted since the last call."""
+        news, self._news = self._news, []
+        return news
+
+    def learn_load(self, server: Server, load: int, now: float) -> None:
+        """Take over a server's own report of what runs and waits there."""
+        server.reported = load
+        server.reported_at = now
--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -7,17 +7,16 @@
 are full is refused rather than spread further.
 """
 
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from collections.abc import Iterator
 
-from .backend_state import Server, ServerEntry
-from .cold import share_of
-from .completion import Estimate, Expectations
-from .evidence import FailureShare
+from .backend_state import Server
+from .choices import Ask, Choice, Refusal
+from .completion import Expectations
+from .eligibility import Eligibility
 from .homes import Homes
+from .known_servers import KnownServers
+from .policy import Policy
 from .randomness import RandomSource
-from .roster import HOSTS_UNLISTED
-from .routes import Service
 from .work_times import WorkTimes
 
 # Servers that a key may use. With one, a key whose server is busy waits although
@@ -49,54 +48,8 @@
 NO_USABLE_SERVER = "no-usable-server"
 
 
-@dataclass(slots=True, frozen=True)
-class Ask:
-    """What placing needs to know of a request.
-
-    `kind` names the sort of work (the route). Objects of two kinds may have the same
-    key: a server that has handled one is no faster for the other. `urgent` requests
-    may also wait at a server whose slots are all taken; `regions` are those that may
-    serve it, empty for all.
-    """
-
-    service: str
-    key: str
-    regions: frozenset[str]
-    urgent: bool
-    tried: frozenset[str] = frozenset()
-    target_s: float = 0.0
-    kind: str = ""
-
-    @property
-    def thing(self) -> str:
-        """Return what names the object over all kinds, empty when there is none."""
-        return f"{self.kind}/{self.key}" if self.key else ""
-
-
-@dataclass(slots=True, frozen=True)
-class Choice:
-    """Send the request to this server, where it is expected to meet `estimate`.
-
-    `busy` is how many requests were believed to be there.
-    """
-
-    server: Server
-    why: str
-    ask: Ask
-    estimate: Estimate
-    busy: int
-
-
-@dataclass(slots=True, frozen=True)
-class Refusal:
-    """No server may take the request now; try again after `retry_after_s`."""
-
-    reason: str
-    retry_after_s: float
-
-
 class Placement:
-    """All backend servers, and the choice among them.
+    """The choice among all backend servers.
 
     Parameters
     ----------
@@ -108,23 +61,17 @@
         Source of spreads.
     cold_over, cold_slack : float
         Bound on requests to cold servers, see `share_of`.
+    policy : Policy, optional
+        Mechanisms that are switched off.
     """
 
     __slots__ = (
-        "_cold_over",
-        "_cold_slack",
-        "_evacuated",
-        "_failures",
         "_homes",
-        "_news",
-        "_region",
-        "_region_of",
+        "_policy",
         "_rng",
-        "_services",
-        "_told",
+        "eligibility",
         "expectations",
-        "region_part",
-        "servers",
+        "known",
     )
 
     def __init__(
@@ -134,104 +81,14 @@
         rng: RandomSource,
         cold_over: float,
         cold_slack: float,
+        policy: Policy | None = None,
     ) -> None:
-        self._region = region
-        self._region_of = region_of
+        self._policy = policy or Policy()
+        self._homes = Homes(region if self._policy.local_home else "")
         self._rng = rng
-        self._cold_over = cold_over
-        self._cold_slack = cold_slack
-        self._evacuated: frozenset[str] = frozenset()
-        self._failures: dict[str, FailureShare] = {}
-        self._homes = Homes(region)
-        self._news: list[tuple[str, str]] = []
-        self._services: dict[str, Service] = {}
-        self._told: dict[str, dict[str, int]] = {}
+        self.eligibility = Eligibility(region, cold_over, cold_slack)
         self.expectations = Expectations()
-        self.region_part = 1.0 / HOSTS_UNLISTED
-        self.servers: dict[str, Server] = {}
-
-    # What is known of the servers
-
-    def set_services(self, services: dict[str, Service]) -> None:
-        """Take over what operators declare of the services."""
-        self._services = services
-
-    def set_cold_bound(self, over: float, slack: float) -> None:
-        """Take over the bound on requests to cold servers, see `share_of`."""
-        self._cold_over = over
-        self._cold_slack = slack
-
-    def set_evacuated(self, domains: Iterable[str], now: float) -> None:
-        """Send nothing more to these failure domains.
-
-        Servers of a domain that is taken back have stood idle and are cold; nothing
-        in their entries says so.
-        """
-        evacuated = frozenset(domains)
-        for server in self.servers.values():
-            domain = server.entry.failure_domain
-            if domain in self._evacuated and domain not in evacuated:
-                cold_s = self._cold_start_s(server.entry.service)
-                server.cold_until = max(server.cold_until, now + cold_s)
-        self._evacuated = evacuated
-
-    def put_server(self, entry: ServerEntry, now: float) -> None:
-        """Add a server or take over its new entry.
-
-        Failure: a server crashes and starts again under its id. What was learnt of the
-        earlier run (evidence, warm keys, requests in flight) is false of the new one;
-        and an entry of the earlier run that arrives late must not bring it back.
-        """
-        server = self.servers.get(entry.server_id)
-        if server is not None and entry.born_ms < server.entry.born_ms:
-            return
-        if server is None or entry.born_ms > server.entry.born_ms:
-            region = self._region_of.get(entry.failure_domain, "")
-            server = Server(entry, region, used_at=now)
-            self.servers[entry.server_id] = server
-        server.entry = entry
-        if entry.cold_left_s > 0:
-            server.cold_until = max(server.cold_until, now + entry.cold_left_s)
-        self._homes.regroup(self.servers.values())
-
-    def drop_server(self, server_id: str) -> None:
-        """Forget a server that is gone."""
-        if self.servers.pop(server_id, None) is not None:
-            self._homes.regroup(self.servers.values())
-
-    def set_peer_counts(self, peer: str, counts: dict[str, int], now: float) -> None:
-        """Take over what another host has in flight at each server.
-
-        Touches only the servers that the host names or named last: with 22 other hosts
-        in a region, each telling eleven times a second, a walk over 250 servers for
-        each message would take longer than all else in it.
-        """
-        for server_id in self._told.pop(peer, {}).keys() - counts.keys():
-            if server_id in self.servers:
-                self.servers[server_id].of_peers.pop(peer, None)
-        for server_id, count in counts.items():
-            if server_id in self.servers:
-                self.servers[server_id].of_peers[peer] = count
-                self.servers[server_id].used_at = now
-        if counts:
-            self._told[peer] = counts
-
-    def set_handled(self, pairs: Iterable[tuple[str, str]]) -> None:
-        """Take over which servers have handled which keys, as another host tells."""
-        for server_id, key in pairs:
-            if server_id in self.servers:
-                self.servers[server_id].warm.handled(key)
-
-    def handled_news(self) -> list[tuple[str, str]]:
-        """Return servers and keys that became warm since the last call."""
-        news, self._news = self._news, []
-        return news
-
-    def _cold_start_s(self, service: str) -> float:
-        declared = self._services.get(service)
-        return declared.cold_start_s if declared else 0.0
-
-    # Choosing
+        self.known = KnownServers(region_of, self._homes)
 
     def choose(self, ask: Ask, now: float) -> Choice | Refusal:
         """Return the server for a request, or why there is none."""
@@ -246,10 +103,13 @@
         open_ones = [item for item in usable if self._has_room(item, ask)]
         if not open_ones:
             return Refusal("full", self.pause(ask.service))
+        return self._best(open_ones, ask, now)
+
+    def _best(self, open_ones: list[Choice], ask: Ask, now: float) -> Choice:
         first = open_ones[0]
-        if ask.key and first.why == HOME_NAMES[0] and first.server.idle_s(now) > IDLE_S:
-            # An idle home takes its keys over, one cold run at a time. Going by time
-            # alone, a server that joins on a calm day is never asked.
+        if not self._policy.fastest:
+            return first
+        if ask.key and self._policy.idle_home and _stands_idle(first, now):
             return first
         return min(open_ones, key=lambda item: (item.estimate.total_s, item.busy))
 
@@ -263,59 +123,53 @@
         """
         found: list[Choice] = []
         homes = 0
+        among = STAY_AMONG if self._policy.stay_warm else 0
+        thing = self._thing(ask)
         for place, server in enumerate(self._usable(ask, now, desperate=desperate)):
-            if ask.key and homes >= HOMES and place >= STAY_AMONG:
+            enough = bool(thing) and homes >= HOMES
+            if enough and place >= among:
                 break
-            if ask.key and homes >= HOMES and not server.warm.holds(ask.thing):
+            if enough and not server.warm.holds(thing):
                 continue
             why = HOME_NAMES[min(place, len(HOME_NAMES) - 1)]
-            found.append(self._choice(server, why, ask, now))
+            found.append(self._choice(server, why, ask, thing, now))
             homes += server.pace.times(now) < SLOW_TIMES
         return found
 
-    def _choice(self, server: Server, why: str, ask: Ask, now: float) -> Choice:
+    def _choice(
+        self, server: Server, why: str, ask: Ask, thing: str, now: float
+    ) -> Choice:
         times = self._times(ask)
-        estimate = self.expectations.estimate(server, ask.thing, times, now)
-        return Choice(server, why, ask, estimate, server.busy(now))
+        estimate = self.expectations.estimate(server, thing, times, now)
+        return Choice(server, why, ask, thing, estimate, server.busy(now))
 
     def _times(self, ask: Ask) -> WorkTimes:
         return self.expectations.kind(ask.kind or ask.service, ask.target_s)
 
     def _usable(self, ask: Ask, now: float, *, desperate: bool) -> Iterator[Server]:
         """Yield the servers that may take the request, in the order of its key."""
+        may_take = self.eligibility.may_take
         for server in self._in_order(ask):
-            if ask.regions and server.region not in ask.regions:
-                continue
-            if self._may_take(server, ask, now, desperate=desperate):
+            if may_take(server, ask, now, desperate=desperate):
                 yield server
 
     def _in_order(self, ask: Ask) -> list[Server]:
         if ask.key:
-            return self._homes.order(ask.service, ask.thing)
+            return self._homes.order(ask.service, self._thing(ask))
         return self._homes.of_service(ask.service)
 
-    def _may_take(
-        self, server: Server, ask: Ask, now: float, *, desperate: bool
-    ) -> bool:
-        entry = server.entry
-        if entry.server_id in ask.tried or entry.failure_domain in self._evacuated:
-            return False
-        if not server.evidence.usable(now, desperate=desperate):
-            return False
-        return not server.cold(now) or self._cold_room(server, now)
-
-    def _cold_room(self, server: Server, now: float) -> bool:
-        declared = self._services.get(server.entry.service)
-        if declared is None or server.region != self._region:
-            return False
-        limit = share_of(
-            declared.cold_rate, self._cold_over, self._cold_slack, self.region_part
-        )
-        return server.cold_share.room(limit, now)
-
     def _failing_alike(self, service: str) -> bool:
-        failures = self._failures.get(service)
-        return failures is not None and failures.general()
+        return self._policy.failing_alike and self.eligibility.failing_alike(service)
+
+    def _thing(self, ask: Ask) -> str:
+        """Return what names the request's object, empty when there is none.
+
+        Objects of two kinds may have the same key: a server that has handled one is no
+        faster for the other.
+        """
+        if not ask.key or not self._policy.kinds_apart:
+            return ask.key
+        return f"{ask.kind}/{ask.key}"
 
     def _has_room(self, choice: Choice, ask: Ask) -> bool:
         places = choice.server.entry.slots + self._waiting_places(choice, ask)
@@ -330,10 +184,11 @@
         """
         slots = choice.server.entry.slots
         estimate = choice.estimate
-        spare_s = WAIT_SHARE * (ask.target_s - estimate.way_s - estimate.work_s)
+        share = WAIT_SHARE if self._policy.warm_waits else 0.0
+        spare_s = share * (ask.target_s - estimate.way_s - estimate.work_s)
         usual_s = self.expectations.service_work_s(ask.service)
         places = min(slots, max(WAITING_LEAST, int(slots * spare_s / usual_s)))
-        return places + (1 if ask.urgent else 0)
+        return places + (1 if ask.urgent and self._policy.urgent_waits else 0)
 
     def patience_s(self, ask: Ask) -> float:
         """Return for how long a server may be silent on a request, in seconds."""
@@ -348,19 +203,16 @@
         """Return a number between two, at random."""
         return self._rng.uniform(least, most)
 
-    # Attempts
-
     def began(self, choice: Choice, number: int, now: float) -> None:
         """Count an attempt that is about to be sent."""
         server = choice.server
         server.own += 1
         server.used_at = now
         server.evidence.sent(number, now, self.patience_s(choice.ask))
-        thing = choice.ask.thing
-        if thing and server.warm.handled(thing):
+        if choice.thing:
             # Warm from the start of the first request on: a second one that came 100 ms
             # later took as long as any later one.
-            self._news.append((server.entry.server_id, thing))
+            self.known.handled(server, choice.thing)
         if server.cold(now):
             server.cold_share.count(now)
 
@@ -370,13 +222,8 @@
 
     def not_run(self, choice: Choice) -> None:
         """Note that a server did not run an attempt, so that nothing became warm."""
-        if choice.ask.key and not choice.estimate.warm:
-            choice.server.warm.forget(choice.ask.thing)
-
-    def learn_outcome(self, server: Server, *, failed: bool) -> None:
-        """Take whether a server did its part into the service's share of failures."""
-        service = server.entry.service
-        self._failures.setdefault(service, FailureShare()).note(failed)
+        if choice.thing and not choice.estimate.warm:
+            choice.server.warm.forget(choice.thing)
 
     def learn_answer(self, choice: Choice, latency_s: float, now: float) -> None:
         """Take in how long a good answer took."""
@@ -387,10 +234,15 @@
         times.learn_answer(latency_s)
         if choice.estimate.wait_s == 0.0 and not server.cold(now):
             warm = choice.estimate.warm
-            server.pace.learn(at_server_s, times.expected_s(warm=warm), now)
+            if self._policy.pace:
+                server.pace.learn(at_server_s, times.expected_s(warm=warm), now)
             self.expectations.learn_work(server, times, at_server_s, warm=warm)
 
-    def learn_load(self, server: Server, load: int, now: float) -> None:
-        """Take over a server's own report of what runs and waits there."""
-        server.reported = load
-        server.reported_at = now
+
+def _stands_idle(choice: Choice, now: float) -> bool:
+    """Tell whether a key's home has nothing to do.
+
+    It then takes its keys over, one cold run at a time. Going by time alone, a server
+    that joins on a calm day would never be asked.
+    """
+    return choice.why == HOME_NAMES[0] and choice.server.idle_s(now) > IDLE_S
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -147,10 +147,11 @@
                 self.rejected.append(Rejected(doc, exc.code, exc.message))
                 if doc.kind is Kind.SERVER:
                     self._held.pop(doc.name, None)
-                    self.placement.drop_server(doc.name)
+                    self.placement.known.drop(doc.name)
         if any(doc.kind is Kind.EVACUATION for doc in fresh):
             domains = [doc.name for doc in self.replica.known(Kind.EVACUATION)]
-            self.placement.set_evacuated(domains, now)
+            servers = self.placement.known.servers.values()
+            self.placement.eligibility.set_evacuated(domains, servers, now)
 
     def _apply_one(self, doc: Document, now: float) -> None:
         if doc.kind is Kind.CONFIG and doc.spec is not None:
@@ -162,7 +163,7 @@
         if self.table is not None and self.table.config.version > config.version:
             return
         self.table = RouteTable(config)
-        self.placement.set_services(config.services)
+        self.placement.eligibility.set_services(config.services)
         self._least_urgent = _least_urgent(config)
         names = {route.name for route in config.routes}
         for name in [name for name in self._splitters if name not in names]:
@@ -171,23 +172,23 @@
     def _take_server(self, doc: Document, now: float) -> None:
         if doc.spec is not None:
             self._held.pop(doc.name, None)
-            self.placement.put_server(self._decoder.server(doc.name, doc.spec), now)
+            self.placement.known.put(self._decoder.server(doc.name, doc.spec), now)
             return
         release_at = self._outage_ended_at + LAPSE_GRACE_S
-        if now < release_at and doc.name in self.placement.servers:
+        if now < release_at and doc.name in self.placement.known.servers:
             # Failure: while the store is away no server can renew its entry, and all
             # of them lapse together. Dropping them at its return would leave nothing
             # to send to until they have registered again.
             self._held[doc.name] = release_at
             return
-        self.placement.drop_server(doc.name)
+        self.placement.known.drop(doc.name)
 
     def tick(self, now: float) -> list[str]:
         """Drop servers whose entries did not come back; return their ids."""
         over = [name for name, until in self._held.items() if now >= until]
         for name in over:
             del self._held[name]
-            self.placement.drop_server(name)
+            self.placement.known.drop(name)
         return over
 
     def ready(self) -> bool:
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -90,7 +90,12 @@
         )
         bounds = cfg.bounds
         placement = Placement(
-            cfg.region, cfg.region_of, rng, bounds.cold_over, bounds.cold_slack
+            cfg.region,
+            cfg.region_of,
+            rng,
+            bounds.cold_over,
+            bounds.cold_slack,
+            cfg.policy,
         )
         steering = Steering(
             placement, ObjectDecoder(), rng, bounds.retry_ratio, bounds.retry_extra
@@ -155,7 +160,7 @@
         placement = gateway.steering.placement
         for host_id, entry in gateway.roster.entries.items():
             if not entry.live(now):
-                placement.set_peer_counts(host_id, {}, now)
+                placement.known.set_peer_counts(host_id, {}, now)
         gateway.roster.turned_away = gateway.duty.turned_away(now)
         gateway.rank = gateway.roster.rank(now)
         if gateway.roster.starting and gateway.steering.ready():
@@ -169,7 +174,7 @@
         steering = gateway.steering
         steering.hosts = 1 + len(gateway.roster.entries)
         steering.set_part(gateway.roster.part_of_fleet())
-        steering.placement.region_part = gateway.roster.part_of_region()
+        steering.placement.eligibility.region_part = gateway.roster.part_of_region()
 
     def _measure(self, now: float) -> None:
         gateway = self.gateway
@@ -179,7 +184,7 @@
         metrics.set_gauge("callers.connections", self.entry.server.connections)
         metrics.set_gauge("hosts.known", gateway.steering.hosts)
         metrics.set_gauge("hosts.live", len(gateway.roster.live(now)))
-        metrics.set_gauge("servers.known", len(placement.servers))
+        metrics.set_gauge("servers.known", len(placement.known.servers))
         metrics.set_gauge("store.calls", self._store.calls)
         metrics.set_gauge("store.age_s", gateway.steering.store_age(now))
 
@@ -213,7 +218,9 @@
         self.gateway.cfg = cfg
         bounds = cfg.bounds
         steering = self.gateway.steering
-        steering.placement.set_cold_bound(bounds.cold_over, bounds.cold_slack)
+        steering.placement.eligibility.set_cold_bound(
+            bounds.cold_over, bounds.cold_slack
+        )
         steering.set_retry_allowance(bounds.retry_ratio, bounds.retry_extra)
         logs.event("settings-reloaded", host_id=cfg.host_id)
 
--- a/lacewingcross/gateway/learning.py
+++ b/lacewingcross/gateway/learning.py
@@ -4,7 +4,7 @@
 
 from ..core.attempts import Ending
 from ..core.backend_state import Server
-from ..core.placement import Choice
+from ..core.choices import Choice
 from .attempt import Answer, reported_load, was_full
 from .context import Gateway
 
@@ -34,7 +34,7 @@
     if result.answer is not None:
         load = reported_load(result.answer.head)
         if load is not None:
-            gateway.steering.placement.learn_load(server, load, now)
+            gateway.steering.placement.known.learn_load(server, load, now)
     if result.ending in (Ending.ANSWERED, Ending.SERVER_ERROR):
         _learn_answer(gateway, choice, result, now)
         return
@@ -50,7 +50,7 @@
     server = choice.server
     good = result.ending is Ending.ANSWERED
     server.evidence.answered(result.number, now, good=good)
-    placement.learn_outcome(server, failed=not good)
+    placement.eligibility.learn_outcome(server.entry.service, failed=not good)
     if good:
         latency_s = now - result.began
         placement.learn_answer(choice, latency_s, now)
@@ -68,7 +68,7 @@
         # address now belongs to another incarnation, is passed over.
         full = was_full(result.answer, server.entry.slots)
         evidence.shed(result.number, now, full=full)
-        placement.learn_outcome(server, failed=not full)
+        placement.eligibility.learn_outcome(server.entry.service, failed=not full)
     elif ending is Ending.CONNECT_FAILED and result.why == CONNECT_FAILED:
         evidence.unreachable(result.number, now)
     elif ending is Ending.CONNECT_FAILED or result.gone:
@@ -77,4 +77,4 @@
         evidence.timed_out(result.number, now)
     else:
         evidence.failed(result.number, now)
-        placement.learn_outcome(server, failed=True)
+        placement.eligibility.learn_outcome(server.entry.service, failed=True)
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -140,12 +140,8 @@
         """Tell each host what is in flight at all servers, when it changed."""
         now = self.gateway.now()
         placement = self.gateway.steering.placement
-        counts = {
-            server_id: server.own
-            for server_id, server in placement.servers.items()
-            if server.own
-        }
-        handled = placement.handled_news()
+        counts = placement.known.in_flight()
+        handled = placement.known.handled_news()
         frame = b""
         for link in self._links.values():
             quiet_s = now - link.told_at
@@ -291,8 +287,9 @@
             turned_away=message.turned_away,
         )
         placement = self.gateway.steering.placement
-        placement.set_peer_counts(info.host_id, dict(message.counts), now)
-        placement.set_handled(message.handled)
+        placement.known.set_peer_counts(info.host_id, dict(message.counts), now)
+        if self.gateway.cfg.policy.warmth_told:
+            placement.known.set_handled(message.handled)
 
     def _take_changes(
         self, info: HostInfo, message: msg.StoreChanges, now: float
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -5,7 +5,7 @@
 from .. import headers as hd
 from .. import logs
 from ..core.attempts import Attempt, Ending, Stage, Verdict, decide
-from ..core.placement import Ask, Choice, Refusal
+from ..core.choices import Ask, Choice, Refusal
 from ..core.routes import Route
 from ..http1_client import HttpError, ResponseHead
 from ..http1_exchange import CallerGoneError, Exchange
@@ -346,7 +346,8 @@
         )
         if ending is Ending.SERVER_NOT_RUN:
             self._last = "server-full"
-            self._shed_with_room = not was_full(answer, run.server.entry.slots)
+            soon = self._gateway.cfg.policy.shed_back_soon
+            self._shed_with_room = soon and not was_full(answer, run.server.entry.slots)
         if ending is Ending.SERVER_ERROR:
             self._last = f"server-{answer.head.status}"
             verdict = self._retry_failure(verdict)
--- a/lacewingcross/gateway/settings.py
+++ b/lacewingcross/gateway/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from ..core.policy import Policy
+
 
 @dataclass(slots=True, frozen=True)
 class Bounds:
@@ -30,7 +32,8 @@
 
     `peer_listen` is where it listens for other hosts when that is not `peer`, the
     address that they are told, for example behind address translation. `cores` is the
-    processor time that it gets, in seconds of an ordinary core a second.
+    processor time that it gets, in seconds of an ordinary core a second. `policy` names
+    mechanisms that an experiment has switched off.
     """
 
     host_id: str
@@ -52,3 +55,4 @@
     metrics_port: int = 9464
     log_level: str = "INFO"
     bounds: Bounds = field(default_factory=Bounds)
+    policy: Policy = field(default_factory=Policy)
--- a/lacewingcross/platform/settings.py
+++ b/lacewingcross/platform/settings.py
@@ -1,8 +1,10 @@
 """Reads the settings file that the platform renders from our template."""
 
 import os
+from dataclasses import fields
 
 from ..checks import Reader
+from ..core.policy import Policy
 from ..errors import SettingsError
 from ..gateway.settings import Bounds, GatewaySettings
 from ..settings import read_json
@@ -61,6 +63,7 @@
         metrics_port=reader.integer("metrics_port", 9464, low=0, high=65535),
         log_level=reader.text("log_level", "INFO"),
         bounds=_read_bounds(reader),
+        policy=_read_policy(reader),
     )
     reader.finish()
     return cfg
@@ -93,6 +96,20 @@
     return Bounds(**values)
 
 
+def _read_policy(reader: Reader) -> Policy:
+    data = reader.raw("policy", {})
+    names = {field.name for field in fields(Policy)}
+    good = isinstance(data, dict) and all(
+        name in names and isinstance(value, bool) for name, value in data.items()
+    )
+    if not good:
+        expected = "an object of switch: true or false, with " + ", ".join(
+            sorted(names)
+        )
+        raise reader.fail("policy", expected, data)
+    return Policy(**data)
+
+
 def _number(reader: Reader, name: str, value: object) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise reader.fail(f"bounds.{name}", "a number", value)
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -231,7 +231,7 @@
 
     async def ready(self, app):
         steering = app.gateway.steering
-        await until(lambda: steering.table and len(steering.placement.servers))
+        await until(lambda: steering.table and len(steering.placement.known.servers))
         await until(lambda: app.entry.server.listening)
         return app
 
--- a/tests/load_player.py
+++ b/tests/load_player.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 from lacewingcross.core.backend_state import ServerEntry
-from lacewingcross.core.placement import Ask, Choice, Placement
+from lacewingcross.core.choices import Ask, Choice
+from lacewingcross.core.placement import Placement
 from lacewingcross.core.routes import Service
 
 TELL_EVERY_S = 0.04
@@ -110,11 +111,11 @@
         for region, count in hosts.items():
             for _ in range(count):
                 host = Placement(region, region_of, self.rng, 1.5, 5.0)
-                host.set_services(self.services)
-                host.region_part = 1.0 / count
+                host.eligibility.set_services(self.services)
+                host.eligibility.region_part = 1.0 / count
                 host.expectations.rtt_s = {r: way_s for r in regions if r != region}
                 for entry in entries:
-                    host.put_server(entry, 0.0)
+                    host.known.put(entry, 0.0)
                 self.hosts.append((region, host))
         self.numbers = itertools.count()
         self.events = []
@@ -174,12 +175,12 @@
     def _shed(self, choice, number, host):
         host.ended(choice.server)
         choice.server.evidence.shed(number, self.now, full=False)
-        host.learn_outcome(choice.server, failed=True)
+        host.eligibility.learn_outcome(choice.server.entry.service, failed=True)
         host.not_run(choice)
 
     def _run(self, model, job):
         choice, _, _, _, kind, _ = job
-        thing = choice.ask.thing
+        thing = choice.thing
         work_s = kind.work_s * model.slow * self.rng.uniform(0.85, 1.15)
         if thing in model.warm:
             work_s *= WARM_PART
@@ -200,7 +201,7 @@
     def _answer(self, choice, number, host, since, kind, sent_at):
         host.ended(choice.server)
         choice.server.evidence.answered(number, self.now, good=True)
-        host.learn_outcome(choice.server, failed=False)
+        host.eligibility.learn_outcome(choice.server.entry.service, failed=False)
         host.learn_answer(choice, self.now - sent_at, self.now)
         if self.now - since <= kind.target_s:
             self.out.in_target[kind.name, int(since)] += 1
@@ -208,12 +209,14 @@
     def _tell(self):
         self.at(self.now + TELL_EVERY_S, self._tell)
         for index, (_, host) in enumerate(self.hosts):
-            counts = {name: srv.own for name, srv in host.servers.items() if srv.own}
-            news = host.handled_news()
+            counts = {
+                name: srv.own for name, srv in host.known.servers.items() if srv.own
+            }
+            news = host.known.handled_news()
             for other, (_, told) in enumerate(self.hosts):
                 if other != index:
-                    told.set_peer_counts(f"host-{index}", counts, self.now)
-                    told.set_handled(news)
+                    told.known.set_peer_counts(f"host-{index}", counts, self.now)
+                    told.known.set_handled(news)
 
     @property
     def cold_runs(self):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -106,7 +106,7 @@
         await made.add_server(breaks)
         good = await made.add_server(answers_at_once)
         app = await made.ready(await made.add_host())
-        await until(lambda: len(app.gateway.steering.placement.servers) == 2)
+        await until(lambda: len(app.gateway.steering.placement.known.servers) == 2)
         for number in range(6):
             got = await ask(app, "/safe/a", f"r{number}", key=str(number))
             assert got.status == 200
@@ -128,7 +128,7 @@
         assert float(header(got, "retry-after")) > 0
         assert not header(got, "x-lacewingcross-response-signature")
         good = await made.add_server(answers_at_once)
-        await until(lambda: len(app.gateway.steering.placement.servers) == 2)
+        await until(lambda: len(app.gateway.steering.placement.known.servers) == 2)
         got = await ask(app, "/unsafe/a", "r2", method="POST", body=b"x")
         assert got.status == 200
         assert len(good.requests) == 1
@@ -173,7 +173,7 @@
         dark = await made.add_server(hangs)
         await made.add_server(answers_at_once)
         app = await made.ready(await made.add_host())
-        await until(lambda: len(app.gateway.steering.placement.servers) == 2)
+        await until(lambda: len(app.gateway.steering.placement.known.servers) == 2)
         statuses = [
             (await ask(app, "/safe/a", f"r{number}", key=str(number))).status
             for number in range(8)
@@ -197,7 +197,7 @@
         await until(lambda: len(server.requests) == 1)
         asking.cancel()
         await until(lambda: server.cut == 1)
-        (only,) = app.gateway.steering.placement.servers.values()
+        (only,) = app.gateway.steering.placement.known.servers.values()
         await until(lambda: only.own == 0)
 
 
@@ -237,7 +237,7 @@
         made.configure(version=9)
         await until(lambda: deaf.gateway.steering.table.config.version == 9)
         made.store.delete("servers", "i-1")
-        await until(lambda: not deaf.gateway.steering.placement.servers)
+        await until(lambda: not deaf.gateway.steering.placement.known.servers)
         await broken.close()
 
 
@@ -326,7 +326,7 @@
         made.register("i-1", server.address)
         await asyncio.sleep(2.5)
         assert (await ask(app, "/safe/a", "r2")).status == 200
-        assert "i-1" in app.gateway.steering.placement.servers
+        assert "i-1" in app.gateway.steering.placement.known.servers
 
 
 @in_loop
@@ -336,7 +336,7 @@
         await made.add_server(answers_at_once)
         await made.add_server(answers_at_once)
         app = await made.ready(await made.add_host())
-        servers = app.gateway.steering.placement.servers
+        servers = app.gateway.steering.placement.known.servers
         await until(lambda: len(servers) == 2)
         made.store.delete("servers", "i-2")
         made.store.compact()
@@ -350,7 +350,7 @@
         left = await made.add_server(answers_at_once, domain="a1")
         await made.add_server(answers_at_once, domain="a2")
         app = await made.ready(await made.add_host())
-        await until(lambda: len(app.gateway.steering.placement.servers) == 2)
+        await until(lambda: len(app.gateway.steering.placement.known.servers) == 2)
         made.store.put("evacuations", "a1", {})
         steering = app.gateway.steering
         await until(lambda: len(steering.replica.update_since(2, 0).documents) == 1)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,8 @@
 from dataclasses import replace
 
 from lacewingcross.core.backend_state import ServerEntry
-from lacewingcross.core.placement import Ask, Choice, Placement, Refusal
+from lacewingcross.core.choices import Ask, Choice, Refusal
+from lacewingcross.core.placement import Placement
 from lacewingcross.core.routes import Service
 
 REGION_OF = {"a1": "a", "a2": "a", "b1": "b"}
@@ -20,9 +21,11 @@
 
 def placement(*entries, region="a"):
     placed = Placement(region, REGION_OF, random.Random(1), 1.5, 5.0)
-    placed.set_services({"calendar": Service("calendar", "/health", 100, 3.0, 14.0)})
+    placed.eligibility.set_services(
+        {"calendar": Service("calendar", "/health", 100, 3.0, 14.0)}
+    )
     for item in entries:
-        placed.put_server(item, NOW)
+        placed.known.put(item, NOW)
     return placed
 
 
@@ -32,6 +35,11 @@
     return Ask("calendar", key, regions, urgent, tried, target_s, "listing")
 
 
+def evacuate(placed, domains):
+    servers = placed.known.servers.values()
+    placed.eligibility.set_evacuated(domains, servers, NOW)
+
+
 def fill(server, count):
     for number in range(count):
         server.evidence.sent(number, NOW, 9.0)
@@ -45,7 +53,7 @@
 def learnt(placed, seconds, *, cold=0.0, count=60):
     """Teach the work of the kind and of its service."""
     times = placed.expectations.kind("listing", 0.2)
-    server = next(iter(placed.servers.values()))
+    server = next(iter(placed.known.servers.values()))
     for _ in range(count):
         placed.expectations.learn_work(server, times, cold or 3 * seconds, warm=False)
     for _ in range(count):
@@ -85,9 +93,9 @@
     # Every caller wakes on the hour. Spread over all servers the key would be cold on
     # each of them, and cold work takes three times the slots.
     placed = placement(*six())
-    home = placed.servers[chosen(placed).server_id]
+    home = placed.known.servers[chosen(placed).server_id]
     fill(home, 3)
-    second = placed.servers[chosen(placed).server_id]
+    second = placed.known.servers[chosen(placed).server_id]
     assert second is not home
     fill(second, 3)
     refusal = placed.choose(ask(), NOW)
@@ -99,18 +107,18 @@
 def test_a_short_wait_at_the_warm_home_beats_cold_work():
     placed = placement(*six())
     learnt(placed, 0.1)
-    home = placed.servers[chosen(placed).server_id]
+    home = placed.known.servers[chosen(placed).server_id]
     warm(home)
     fill(home, 2)
     assert chosen(placed).server_id == home.entry.server_id
-    for server in placed.servers.values():
+    for server in placed.known.servers.values():
         warm(server)
     assert chosen(placed).server_id != home.entry.server_id
 
 
 def in_use(placed):
     """Let each server have been used a moment ago."""
-    for server in placed.servers.values():
+    for server in placed.known.servers.values():
         server.used_at = NOW
 
 
@@ -120,9 +128,9 @@
     placed = placement(*six())
     homes = {str(number): chosen(placed, key=str(number)) for number in range(60)}
     for key, home in homes.items():
-        warm(placed.servers[home.server_id], key)
+        warm(placed.known.servers[home.server_id], key)
     for number in range(3):
-        placed.put_server(entry(f"new-{number}", "a1"), NOW)
+        placed.known.put(entry(f"new-{number}", "a1"), NOW)
     in_use(placed)
     for key, home in homes.items():
         assert chosen(placed, key=key).server_id == home.server_id
@@ -133,10 +141,12 @@
     # so the new server would never be asked.
     placed = placement(*six())
     for number in range(60):
-        warm(placed.servers[chosen(placed, key=str(number)).server_id], str(number))
-    placed.put_server(entry("new", "a1"), NOW)
+        warm(
+            placed.known.servers[chosen(placed, key=str(number)).server_id], str(number)
+        )
+    placed.known.put(entry("new", "a1"), NOW)
     in_use(placed)
-    placed.servers["new"].used_at = NOW - 5
+    placed.known.servers["new"].used_at = NOW - 5
     taken = 0
     for number in range(60):
         choice = placed.choose(ask(key=str(number)), NOW)
@@ -150,7 +160,7 @@
     # Route sheet 7 and tank 7 are two objects; a server that knew the one took as long
     # for the other as a server that knew neither.
     placed = placement(*six())
-    home = placed.servers[chosen(placed).server_id]
+    home = placed.known.servers[chosen(placed).server_id]
     home.warm.handled("upload/7")
     choice = placed.choose(ask(), NOW)
     assert not choice.estimate.warm
@@ -162,8 +172,8 @@
     placed = placement(*six())
     choice = placed.choose(ask(), NOW)
     placed.began(choice, 1, NOW)
-    assert placed.handled_news() == [(choice.server.entry.server_id, "listing/7")]
-    assert placed.handled_news() == []
+    assert placed.known.handled_news() == [(choice.server.entry.server_id, "listing/7")]
+    assert placed.known.handled_news() == []
     assert placed.choose(ask(), NOW).estimate.warm
     placed.not_run(choice)
     assert not placed.choose(ask(), NOW).estimate.warm
@@ -172,7 +182,7 @@
 def test_what_other_hosts_made_warm_is_known():
     placed = placement(*six())
     home = chosen(placed).server_id
-    placed.set_handled([(home, "listing/7"), ("gone", "listing/7")])
+    placed.known.set_handled([(home, "listing/7"), ("gone", "listing/7")])
     assert placed.choose(ask(), NOW).estimate.warm
 
 
@@ -181,18 +191,18 @@
     # would be sent all its keys as warm, at once, while it bears three requests.
     placed = placement(*six())
     home = chosen(placed).server_id
-    old = placed.servers[home]
+    old = placed.known.servers[home]
     warm(old)
     fill(old, 1)
     born = entry(home, old.entry.failure_domain, cold_left_s=3.0)
-    placed.put_server(replace(born, born_ms=2000), NOW)
-    new = placed.servers[home]
+    placed.known.put(replace(born, born_ms=2000), NOW)
+    new = placed.known.servers[home]
     assert new is not old
     assert new.own == 0
     assert new.cold(NOW)
     assert not new.warm.holds("listing/7")
-    placed.put_server(replace(old.entry, born_ms=1000), NOW)
-    assert placed.servers[home] is new
+    placed.known.put(replace(old.entry, born_ms=1000), NOW)
+    assert placed.known.servers[home] is new
 
 
 def test_a_slow_server_is_left_for_the_time():
@@ -200,7 +210,7 @@
     # cold work elsewhere; it is tried again when nothing was heard of it for long.
     placed = placement(*six())
     learnt(placed, 0.1)
-    home = placed.servers[chosen(placed).server_id]
+    home = placed.known.servers[chosen(placed).server_id]
     warm(home)
     for _ in range(5):
         home.pace.learn(1.2, 0.1, NOW)
@@ -211,25 +221,25 @@
 def test_what_peers_have_in_flight_fills_a_server_too():
     placed = placement(*six())
     home = chosen(placed).server_id
-    placed.set_peer_counts("host-2", {home: 3}, NOW)
+    placed.known.set_peer_counts("host-2", {home: 3}, NOW)
     assert chosen(placed).server_id != home
-    placed.set_peer_counts("host-2", {}, NOW)
+    placed.known.set_peer_counts("host-2", {}, NOW)
     assert chosen(placed).server_id == home
 
 
 def test_a_load_report_counts_for_a_moment_only():
     placed = placement(*six())
-    home = placed.servers[chosen(placed).server_id]
-    placed.learn_load(home, 3, NOW)
+    home = placed.known.servers[chosen(placed).server_id]
+    placed.known.learn_load(home, 3, NOW)
     assert chosen(placed).server_id != home.entry.server_id
     assert chosen(placed, now=NOW + 0.2).server_id == home.entry.server_id
 
 
 def test_urgent_requests_may_wait_for_a_slot():
     placed = placement(*six())
-    home = placed.servers[chosen(placed).server_id]
+    home = placed.known.servers[chosen(placed).server_id]
     fill(home, 3)
-    fill(placed.servers[chosen(placed).server_id], 3)
+    fill(placed.known.servers[chosen(placed).server_id], 3)
     assert isinstance(placed.choose(ask(), NOW), Refusal)
     assert chosen(placed, urgent=True).server_id == home.entry.server_id
 
@@ -238,20 +248,23 @@
     placed = placement(*six())
     first = chosen(placed).server_id
     assert chosen(placed, tried=[first]).server_id != first
-    placed.put_server(
-        entry(first, placed.servers[first].entry.failure_domain, draining=True), NOW
+    placed.known.put(
+        entry(first, placed.known.servers[first].entry.failure_domain, draining=True),
+        NOW,
     )
     second = chosen(placed).server_id
     assert second != first
-    placed.drop_server(second)
+    placed.known.drop(second)
     assert chosen(placed).server_id not in (first, second)
 
 
 def test_an_evacuated_failure_domain_gets_nothing():
     placed = placement(*six())
-    placed.set_evacuated(["a1", "a2"], NOW)
+    evacuate(placed, ["a1", "a2"])
     assert {chosen(placed, key=str(i)).failure_domain for i in range(30)} == {"b1"}
-    placed.set_evacuated(["a1", "a2", "b1"], NOW)
+    placed.eligibility.set_evacuated(
+        ["a1", "a2", "b1"], placed.known.servers.values(), NOW
+    )
     assert isinstance(placed.choose(ask(), NOW), Refusal)
 
 
@@ -259,9 +272,9 @@
     # An evacuation ends and the domain's keys all return at once. Its servers have
     # stood idle; nothing in their entries says that they are cold.
     placed = placement(*six())
-    placed.region_part = 1.0
-    placed.set_evacuated(["a1", "a2"], NOW)
-    placed.set_evacuated([], NOW)
+    placed.eligibility.region_part = 1.0
+    evacuate(placed, ["a1", "a2"])
+    evacuate(placed, [])
     sent = {}
     for number in range(300):
         choice = placed.choose(ask(key=str(number)), NOW)
@@ -292,7 +305,7 @@
     # All servers of a service shed half of what they get. Passing all of them over
     # would refuse every request; using them answers half.
     placed = placement(*six())
-    for server in placed.servers.values():
+    for server in placed.known.servers.values():
         for number in range(20):
             server.evidence.sent(number, NOW, 9.0)
             server.evidence.failed(number, NOW)
@@ -303,9 +316,9 @@
     # What the other hosts have in flight counts too: by own counts alone a route
     # without keys was sent to a server with ten requests on six slots.
     placed = placement(*six())
-    fill(placed.servers["a0"], 1)
-    fill(placed.servers["a1"], 1)
-    placed.set_peer_counts("host-2", {"a2": 1}, NOW)
+    fill(placed.known.servers["a0"], 1)
+    fill(placed.known.servers["a1"], 1)
+    placed.known.set_peer_counts("host-2", {"a2": 1}, NOW)
     assert chosen(placed, key="").server_id == "a3"
 
 
@@ -314,7 +327,7 @@
     # slots wait 50 ms each; cold work elsewhere would take three times as long.
     placed = placement(*six())
     learnt(placed, 0.05)
-    home = placed.servers[chosen(placed).server_id]
+    home = placed.known.servers[chosen(placed).server_id]
     warm(home)
     fill(home, 3)
     assert chosen(placed, target_s=0.2).server_id == home.entry.server_id
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -43,7 +43,7 @@
     made = steering()
     told(made, 1, ENTRY, 0.0)
     told(made, 2, None, 0.5)
-    assert not made.placement.servers
+    assert not made.placement.known.servers
 
 
 def test_entries_that_lapsed_in_an_outage_are_kept_for_two_seconds():
@@ -53,10 +53,10 @@
     told(made, 1, ENTRY, 0.0)
     back = OUTAGE_S + 3.0
     told(made, 2, None, back)
-    assert "i-1" in made.placement.servers
+    assert "i-1" in made.placement.known.servers
     told(made, 3, ENTRY, back + 1.0)
     made.tick(back + LAPSE_GRACE_S + 0.1)
-    assert "i-1" in made.placement.servers
+    assert "i-1" in made.placement.known.servers
 
 
 def test_entries_that_do_not_come_back_are_gone():
@@ -66,7 +66,7 @@
     told(made, 2, None, back)
     assert made.tick(back + LAPSE_GRACE_S - 0.1) == []
     assert made.tick(back + LAPSE_GRACE_S + 0.1) == ["i-1"]
-    assert not made.placement.servers
+    assert not made.placement.known.servers
 
 
 def test_a_server_that_leaves_long_after_an_outage_is_dropped_at_once():
@@ -76,7 +76,7 @@
     for second in range(11, 16):
         quiet(made, float(second))
     told(made, 2, None, 16.0)
-    assert not made.placement.servers
+    assert not made.placement.known.servers
 
 
 def test_one_unreadable_object_does_not_hold_up_the_others():
@@ -86,7 +86,7 @@
         Document(Kind.SERVER, "good", 2, ENTRY),
     ]
     made.take(Update(Kind.SERVER, 0, 2, docs), 0.0)
-    assert set(made.placement.servers) == {"good"}
+    assert set(made.placement.known.servers) == {"good"}
     assert [item.document.name for item in made.rejected] == ["bad"]
 
 
@@ -127,10 +127,10 @@
     told(made, 1, ENTRY, 0.0)
     told(made, 2, ENTRY, 0.0, name="i-2")
     told(made, 3, {**ENTRY, "state": "resting"}, 0.5)
-    assert set(made.placement.servers) == {"i-2"}
+    assert set(made.placement.known.servers) == {"i-2"}
     assert [item.document.name for item in made.rejected] == ["i-1"]
     told(made, 4, ENTRY, 1.0)
-    assert set(made.placement.servers) == {"i-1", "i-2"}
+    assert set(made.placement.known.servers) == {"i-1", "i-2"}
 
 
 def test_a_server_that_starts_again_under_its_id_is_a_new_one():
@@ -138,11 +138,11 @@
     # that was written late changes nothing.
     made = steering()
     told(made, 1, {**ENTRY, "born": 1000}, 0.0)
-    first = made.placement.servers["i-1"]
+    first = made.placement.known.servers["i-1"]
     told(made, 2, {**ENTRY, "born": 2000, "cold_left_s": 3}, 1.0)
-    second = made.placement.servers["i-1"]
+    second = made.placement.known.servers["i-1"]
     assert second is not first
     assert second.cold(1.5)
     told(made, 3, {**ENTRY, "born": 1000, "state": "draining"}, 1.2)
-    assert made.placement.servers["i-1"] is second
+    assert made.placement.known.servers["i-1"] is second
     assert not second.entry.draining
