--- /dev/null
+++ b/bench/ablation.py
@@ -0,0 +1,182 @@
+"""Plays days with one mechanism of placing switched off at a time.
+
+``python -m bench.ablation PLAYER SITE...`` copies the checkout once for each switch of
+`Policy`, writes the switch into the settings template of the copy, plays the days with
+the users' player and prints a table of what each mechanism is worth. The player's
+journal entries are copied back.
+"""
+
+import json
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, fields
+from pathlib import Path
+from statistics import mean
+
+import defopt
+
+from lacewingcross.core.policy import Policy
+
+ROOT = Path(__file__).resolve().parent.parent
+TEMPLATE = Path("deploy/host.json.tmpl")
+NOTHING = "(nothing)"
+# A play of the longest day takes some minutes beside others, in seconds.
+PLAY_MOST_S = 1800.0
+_WORTH = re.compile(r"^worth (-?\d+\.\d+) =", re.MULTILINE)
+
+
+@dataclass(slots=True, frozen=True)
+class Play:
+    """One day of one site with one switch off."""
+
+    switch: str
+    site: Path
+    day: str
+    seed: int
+
+
+@dataclass(slots=True, frozen=True)
+class Played:
+    """A play and its worth, None when it gave none."""
+
+    play: Play
+    worth: float | None
+
+
+def copy_checkout(folder: Path) -> None:
+    """Copy what git tracks, and what the build has made, into a folder."""
+    listed = subprocess.run(
+        ["git", "ls-files"], cwd=ROOT, check=True, capture_output=True, text=True
+    )
+    for name in listed.stdout.splitlines():
+        if name.startswith("journal/") or not (ROOT / name).is_file():
+            continue
+        (folder / name).parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy2(ROOT / name, folder / name)
+    if (ROOT / "target").is_dir():
+        shutil.copytree(ROOT / "target", folder / "target")
+    (folder / "journal").mkdir()
+
+
+def switch_off(folder: Path, switch: str) -> None:
+    """Write a switch into the settings template of a copy."""
+    path = folder / TEMPLATE
+    text = path.read_text().rstrip().removesuffix("}").rstrip()
+    # A brace before a placeholder needs a space, as the platform's template says.
+    policy = json.dumps({switch: False})
+    path.write_text(f'{text},\n  "policy": {policy}\n}}\n')
+
+
+def prepared(work: Path, switch: str) -> Path:
+    """Return a copy of the checkout with a switch off."""
+    folder = work / (switch if switch != NOTHING else "all-on")
+    folder.mkdir(parents=True)
+    copy_checkout(folder)
+    if switch != NOTHING:
+        switch_off(folder, switch)
+    return folder
+
+
+def worth_of(output: str) -> float | None:
+    """Return the worth that a play printed, or None."""
+    found = _WORTH.search(output)
+    return float(found.group(1)) if found else None
+
+
+def run_play(player: Path, folder: Path, play: Play) -> Played:
+    """Play one day in a copy."""
+    words = [str(player), "run", str(play.site.resolve()), play.day, "--no-cpu"]
+    words += ["--jobs", "1", "--why", f"ablation: {play.switch} off"]
+    if play.seed:
+        words += ["--seed", str(play.seed)]
+    done = subprocess.run(
+        words, cwd=folder, capture_output=True, text=True, timeout=PLAY_MOST_S
+    )
+    return Played(play, worth_of(done.stdout))
+
+
+def table(played: list[Played]) -> Iterator[str]:
+    """Yield the lines of a table: a row for each switch, a column for each site."""
+    sites = sorted({item.play.site for item in played})
+    yield "| off | " + " | ".join(site.stem for site in sites) + " |"
+    yield "|---|" + "---|" * len(sites)
+    switches = dict.fromkeys(item.play.switch for item in played)
+    for switch in switches:
+        cells = [_cell(played, switch, site) for site in sites]
+        yield f"| {switch} | " + " | ".join(cells) + " |"
+
+
+def _cell(played: list[Played], switch: str, site: Path) -> str:
+    worths = _worths(played, switch, site)
+    if not worths:
+        return "-"
+    on = _worths(played, NOTHING, site)
+    if switch == NOTHING or not on:
+        return f"{mean(worths):.3f}"
+    return f"{mean(worths):.3f} ({mean(worths) - mean(on):+.3f})"
+
+
+def _worths(played: list[Played], switch: str, site: Path) -> list[float]:
+    return [
+        item.worth
+        for item in played
+        if (item.play.switch, item.play.site) == (switch, site)
+        and item.worth is not None
+    ]
+
+
+def ablate(
+    player: Path,
+    sites: list[Path],
+    *,
+    days: list[str] | None = None,
+    seeds: list[int] | None = None,
+    jobs: int = 4,
+    switches: list[str] | None = None,
+) -> None:
+    """Play days with each mechanism switched off and print what it is worth.
+
+    Parameters
+    ----------
+    player : Path
+        The users' program that plays days.
+    sites : list of Path
+        Site files.
+    days : list of str, optional
+        Names of days in the site files; by default ``scale-1`` and ``trouble-1``.
+    seeds : list of int, optional
+        Seeds, 0 for a day's own; by default only that.
+    jobs : int, default=4
+        Plays at the same time.
+    switches : list of str, optional
+        Switches to try; by default all.
+    """
+    names = switches or [field.name for field in fields(Policy)]
+    with tempfile.TemporaryDirectory(dir=ROOT.parent, prefix="ablation-") as work:
+        folders = {name: prepared(Path(work), name) for name in [NOTHING, *names]}
+        plays = [
+            Play(name, site, day, seed)
+            for site in sites
+            for name in folders
+            for day in days or ["scale-1", "trouble-1"]
+            for seed in seeds or [0]
+        ]
+        with ThreadPoolExecutor(jobs) as pool:
+            played = list(
+                pool.map(
+                    lambda play: run_play(player, folders[play.switch], play), plays
+                )
+            )
+        for folder in folders.values():
+            shutil.copytree(folder / "journal", ROOT / "journal", dirs_exist_ok=True)
+    lines = list(table(played))
+    sys.stdout.write("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    defopt.run(ablate)
