--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -1,6 +1,6 @@
 """Plays days with one mechanism of placing switched off at a time.
 
-``python -m bench.ablation PLAYER SITE...`` copies the checkout once for each switch of
+``python -m bench.ablation PLAYER --sites SITE...`` copies the checkout once for each switch of
 `Policy`, writes the switch into the settings template of the copy, plays the days with
 the users' player and prints a table of what each mechanism is worth. The player's
 journal entries are copied back.
@@ -143,17 +143,17 @@
 
     Parameters
     ----------
-    player : Path
+    player
         The users' program that plays days.
-    sites : list of Path
+    sites
         Site files.
-    days : list of str, optional
+    days
         Names of days in the site files; by default ``scale-1`` and ``trouble-1``.
-    seeds : list of int, optional
+    seeds
         Seeds, 0 for a day's own; by default only that.
-    jobs : int, default=4
+    jobs
         Plays at the same time.
-    switches : list of str, optional
+    switches
         Switches to try; by default all.
     """
     names = switches or [field.name for field in fields(Policy)]
