--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -1,9 +1,9 @@
 """Plays days with one mechanism of placing switched off at a time.
 
-``python -m bench.ablation PLAYER --sites SITE...`` copies the checkout once for each switch of
-`Policy`, writes the switch into the settings template of the copy, plays the days with
-the users' player and prints a table of what each mechanism is worth. The player's
-journal entries are copied back.
+``python -m bench.ablation PLAYER --sites SITE...`` copies the checkout once for each
+switch of `Policy`, writes the switch into the settings template of the copy, plays the
+days with the users' player and prints a table of what each mechanism is worth. The
+player's journal entries are copied back.
 """
 
 import json
