--- a/lacewingcross/core/roster.py
+++ b/lacewingcross/core/roster.py
@@ -12,11 +12,10 @@
 
 # Each host speaks to every other one at least this often, in seconds.
 ALIVE_EVERY_S = 0.5
-# How often changed counts of requests in flight are told to the hosts of a server's
-# region, in seconds. Requests take about 70 ms at a warm server, so older counts say
-# little.
+# How often changed counts of requests in flight are told to all other hosts, in
+# seconds. Requests take about 70 ms at a warm server, so older counts say little.
 COUNTS_EVERY_S = 0.03
-# Regions of up to this many hosts get counts at that pace, larger ones as much less
+# Fleets of up to this many hosts get counts at that pace, larger ones as much less
 # often as they are larger, so that each host tells and hears some 250 messages a second
 # at most: about 3 in 100 of a core.
 COUNTS_HOSTS = 8
@@ -132,22 +131,10 @@
         others = (entry.info for entry in self.entries.values() if entry.live(now))
         return [self.own, *others]
 
-    def region_size(self, region: str) -> int:
-        """Return how many hosts of a region there are, living or not.
-
-        Failure: all hosts are killed together and start again. Each knows only itself
-        at first and would take the whole region's share of the requests that a cold
-        server bears. Until the list of hosts was read there may be many.
-        """
-        others = (entry.info.region for entry in self.entries.values())
-        known = sum(name == region for name in (self.own.region, *others))
-        return known if self.listed else max(known, HOSTS_UNLISTED)
-
     def counts_every_s(self) -> float:
         """Return how often this host tells what it has in flight, in seconds."""
-        return COUNTS_EVERY_S * max(
-            1.0, self.region_size(self.own.region) / COUNTS_HOSTS
-        )
+        hosts = 1 + len(self.entries)
+        return COUNTS_EVERY_S * max(1.0, hosts / COUNTS_HOSTS)
 
     def rank(self, now: float) -> int:
         """Return this host's place among those that may follow the store, 0 first.
@@ -170,13 +157,18 @@
         return order.index(self.own.host_id)
 
     def part_of_region(self) -> float:
-        """Return this host's part of its region's processor time, see `region_size`."""
+        """Return this host's part of its region's processor time, see `_reckoned`."""
         infos = [entry.info for entry in self.entries.values()]
         cores = self._cores_of(info for info in infos if info.region == self.own.region)
         return self._reckoned(self.own.cores / cores)
 
     def _reckoned(self, part: float) -> float:
-        """Return a part, less while there may be hosts that are not known yet."""
+        """Return a part, less while there may be hosts that are not known yet.
+
+        Failure: all hosts are killed together and start again. Each knows only itself
+        at first and would take the whole region's share of the requests that a cold
+        server bears. Until the list of hosts was read there may be many.
+        """
         return part if self.listed else min(part, 1.0 / HOSTS_UNLISTED)
 
     def part_of_fleet(self) -> float:
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -147,9 +147,9 @@
     assert sorted(ranks) == [0, 1, 2, 3, 4, 5]
 
 
-def test_what_a_host_tells_and_hears_does_not_grow_with_its_region():
-    # Each host tells each other one of its region. At one pace for all sizes a region
-    # of 80 hosts would spend its hosts on telling each other how busy they are.
+def test_what_a_host_tells_and_hears_does_not_grow_with_the_fleet():
+    # Each host tells each other one. At one pace for all sizes a fleet of 80 hosts
+    # would spend its hosts on telling each other how busy they are.
     def messages_a_second(hosts):
         made = roster(*(host(number) for number in range(1, hosts)))
         made.listed = True
@@ -186,17 +186,17 @@
     assert made.forget_silent(30.0) == []
     assert made.forget_silent(61.0) == ["host-1"]
     made.listed = True
-    assert made.region_size("a") == 1
+    assert made.part_of_region() == 1.0
 
 
 def test_a_host_that_knows_nobody_yet_does_not_take_the_whole_regions_share():
     # All hosts are killed together while servers come back cold. Each one that starts
     # knows itself only; five of them with a whole share each break the servers again.
     made = roster()
-    assert made.region_size("a") >= 5
+    assert made.part_of_region() <= 1 / 5
     made.heard(host(1), 1, 0.0, leaving=False)
     made.listed = True
-    assert made.region_size("a") == 2
+    assert made.part_of_region() == 1 / 2
 
 
 def test_a_host_that_has_not_read_the_configuration_is_not_named():
