--- /dev/null
+++ b/lacewingcross/gateway/link.py
@@ -0,0 +1,81 @@
+"""The outgoing stream to one other entry host."""
+
+import asyncio
+from collections.abc import Callable
+
+from .. import logs
+from ..checks import split_address
+from ..core import messages as msg
+from ..core.membership import HostInfo
+from ..frame_queue import FrameQueue
+from ..sockets import watch_silence
+from ..wire import encode
+from .context import Gateway
+
+# A host in touch takes a connection within two ways, at most 70 ms; a longer silence
+# is a lost packet or a dead host. In seconds.
+CONNECT_S = 0.5
+# Pause before a stream that broke is opened again, in seconds.
+REDIAL_S = 0.15
+# Messages kept for a host that takes none. The oldest are dropped; the host sees from
+# the revisions of later ones that it missed some, and asks for them.
+QUEUE_MAX = 2000
+
+Greeting = Callable[[], list[msg.Message]]
+
+
+class Link:
+    """The outgoing stream to one host; only this side sends on it."""
+
+    __slots__ = ("_gateway", "_greeting", "_queue", "info", "task", "told", "told_at")
+
+    def __init__(self, gateway: Gateway, greeting: Greeting, info: HostInfo) -> None:
+        self._gateway = gateway
+        self._greeting = greeting
+        self._queue = FrameQueue(QUEUE_MAX)
+        self.info = info
+        self.told: dict[str, int] = {}
+        self.told_at = float("-inf")
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def send(self, message: msg.Message) -> None:
+        """Queue a message for the host."""
+        self.send_frame(encode(message))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Queue an encoded message for the host."""
+        if self._queue.put(frame):
+            self._gateway.metrics.count("peers.dropped")
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._session()
+            except (OSError, TimeoutError) as exc:
+                self._gateway.metrics.count("peers.link-broken")
+                logs.event(
+                    "peer-unreachable",
+                    "DEBUG",
+                    host_id=self.info.host_id,
+                    why=repr(exc),
+                )
+            await asyncio.sleep(REDIAL_S)
+
+    async def _session(self) -> None:
+        host, port = split_address(self.info.peer)
+        gateway = self._gateway
+        dialled_at = gateway.now()
+        async with asyncio.timeout(CONNECT_S):
+            reader, writer = await asyncio.open_connection(host, port)
+        rtt_s = gateway.steering.placement.expectations.rtt_s
+        took_s = gateway.now() - dialled_at
+        rtt_s[self.info.region] = min(took_s, rtt_s.get(self.info.region, took_s))
+        watch_silence(writer.transport)
+        self._queue.clear()
+        self.told = {}
+        try:
+            for message in self._greeting():
+                writer.write(encode(message))
+            await self._queue.pump(reader, writer)
+        finally:
+            writer.transport.abort()
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -10,78 +10,17 @@
 from ..core.replica import Document, Kind, Update
 from ..core.roster import ALIVE_EVERY_S
 from ..errors import FrameError
-from ..frame_queue import FrameQueue
 from ..greeting import host_of
 from ..sockets import watch_silence
 from ..wire import PROTOCOL, encode, read_message
 from .context import Gateway
 from .following import log_changes
+from .link import CONNECT_S, REDIAL_S, Link
 
-CONNECT_S = 0.5
-REDIAL_S = 0.15
 REVIEW_S = 0.1
 # A stream that brings nothing for this long has gone silent, in seconds; its sender
 # dials again.
 QUIET_S = 3 * ALIVE_EVERY_S
-# Messages kept for a host that takes none. The oldest are dropped; the host sees from
-# the revisions of later ones that it missed some, and asks for them.
-QUEUE_MAX = 2000
-
-
-class Link:
-    """The outgoing stream to one host; only this side sends on it."""
-
-    __slots__ = ("_peers", "_queue", "info", "task", "told", "told_at")
-
-    def __init__(self, peers: "Peers", info: HostInfo) -> None:
-        self._peers = peers
-        self._queue = FrameQueue(QUEUE_MAX)
-        self.info = info
-        self.told: dict[str, int] = {}
-        self.told_at = float("-inf")
-        self.task = asyncio.get_running_loop().create_task(self._run())
-
-    def send(self, message: msg.Message) -> None:
-        """Queue a message for the host."""
-        self.send_frame(encode(message))
-
-    def send_frame(self, frame: bytes) -> None:
-        """Queue an encoded message for the host."""
-        if self._queue.put(frame):
-            self._peers.gateway.metrics.count("peers.dropped")
-
-    async def _run(self) -> None:
-        while True:
-            try:
-                await self._session()
-            except (OSError, TimeoutError) as exc:
-                self._peers.gateway.metrics.count("peers.link-broken")
-                logs.event(
-                    "peer-unreachable",
-                    "DEBUG",
-                    host_id=self.info.host_id,
-                    why=repr(exc),
-                )
-            await asyncio.sleep(REDIAL_S)
-
-    async def _session(self) -> None:
-        host, port = split_address(self.info.peer)
-        gateway = self._peers.gateway
-        dialled_at = gateway.now()
-        async with asyncio.timeout(CONNECT_S):
-            reader, writer = await asyncio.open_connection(host, port)
-        rtt_s = gateway.steering.placement.expectations.rtt_s
-        took_s = gateway.now() - dialled_at
-        rtt_s[self.info.region] = min(took_s, rtt_s.get(self.info.region, took_s))
-        watch_silence(writer.transport)
-        self._queue.clear()
-        self.told = {}
-        try:
-            for message in self._peers.greeting():
-                writer.write(encode(message))
-            await self._queue.pump(reader, writer)
-        finally:
-            writer.transport.abort()
 
 
 class Peers:
@@ -192,7 +131,7 @@
                 del self._links[host_id]
         for host_id, entry in entries.items():
             if host_id not in self._links:
-                self._links[host_id] = Link(self, entry.info)
+                self._links[host_id] = Link(self.gateway, self.greeting, entry.info)
 
     async def seek(self) -> None:
         """Say hello to the seeds while no other host is known.
@@ -328,7 +267,7 @@
     def _send_to(self, info: HostInfo, message: msg.Message) -> None:
         link = self._links.get(info.host_id)
         if link is None:
-            link = Link(self, info)
+            link = Link(self.gateway, self.greeting, info)
             self._links[info.host_id] = link
         link.send(message)
 
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from .. import headers as hd
-from .. import logs
 from ..core.attempts import Attempt, Ending, Stage, Verdict, decide
 from ..core.choices import Ask, Choice, Refusal
 from ..core.routes import Route
@@ -17,6 +16,7 @@
     classify,
     was_full,
 )
+from .attempt_log import AttemptLog
 from .context import Gateway
 from .forwarding import request_for_server
 from .frame import Frame, FrameError, read_frame
@@ -56,6 +56,7 @@
         "_gateway",
         "_gone",
         "_last",
+        "_log",
         "_may_have_run",
         "_reply",
         "_route",
@@ -72,6 +73,7 @@
         self._started = gateway.now()
         self._deadline = self._started
         self._frame: Frame | None = None
+        self._log: AttemptLog | None = None
         self._route: Route | None = None
         self._service = ""
         self._body = CallerBody(exchange, [])
@@ -92,6 +94,7 @@
             await self._reply.finish(Final(400, "bad-frame"), detail=str(exc))
             return
         self._reply.request_id = self._frame.request_id
+        self._log = AttemptLog(self._frame, self._gateway)
         final = self._find_route()
         if final is not None:
             await self._reply.finish(final)
@@ -213,33 +216,9 @@
         now = self._gateway.now()
         choice = self._gateway.steering.placement.choose(self._ask(), now)
         if isinstance(choice, Choice):
-            self._log_choice(choice, now)
+            self._log.placed(choice, self._attempts + 1, self._left(), now)
         return choice
 
-    def _log_choice(self, choice: Choice, now: float) -> None:
-        server = choice.server
-        logs.event(
-            "request-placed",
-            id=self._frame.request_id,
-            route=self._route.name,
-            service=self._service,
-            config=self._gateway.steering.table.config.version,
-            key=self._frame.key,
-            server=server.entry.server_id,
-            domain=server.entry.failure_domain,
-            why=choice.why,
-            warm=choice.estimate.warm,
-            wait_ms=int(1000 * choice.estimate.wait_s),
-            work_ms=int(1000 * choice.estimate.work_s),
-            busy=choice.busy,
-            own=server.own,
-            slots=server.entry.slots,
-            report_age_ms=int(min(9999, 1000 * (now - server.reported_at))),
-            cold_ms=int(max(0.0, 1000 * (server.cold_until - now))),
-            attempt=self._attempts + 1,
-            left_ms=int(1000 * self._left()),
-        )
-
     async def _attempt(self, choice: Choice) -> Verdict:
         server = choice.server
         self._attempts += 1
@@ -352,32 +331,13 @@
             self._last = f"server-{answer.head.status}"
             verdict = self._retry_failure(verdict)
         if verdict is not Verdict.DONE or self._attempts > 1:
-            self._log_ending(attempt, ending, answer, verdict)
+            self._log.ended(attempt, ending, answer, verdict, self._last, self._left())
         if verdict is Verdict.DONE:
             await self._reply.deliver(run, answer)
         elif answer is not None and not answer.whole:
             run.let_go(whole=False)
         return verdict
 
-    def _log_ending(
-        self,
-        attempt: Attempt,
-        ending: Ending,
-        answer: Answer | None,
-        verdict: Verdict,
-    ) -> None:
-        logs.event(
-            "attempt-ended",
-            id=self._frame.request_id,
-            server=attempt.server_id,
-            attempt=attempt.number,
-            ending=ending.value,
-            status=answer.head.status if answer else 0,
-            why=self._last,
-            verdict=verdict.value,
-            left_ms=int(1000 * self._left()),
-        )
-
     def _retry_failure(self, verdict: Verdict) -> Verdict:
         """Try a server's own failure once more where the request may be repeated."""
         route = self._route
