An error over one message costs a stream to a host, not the host

Any error of ours there would do the same.

Change: it is logged as peer-failed and the stream is opened again. The test fails on the code before (the other host never hears) and passes now.

--- a/lacewingcross/gateway/link.py
+++ b/lacewingcross/gateway/link.py
@@ -59,6 +59,13 @@
                     host_id=self.info.host_id,
                     why=repr(exc),
                 )
+            except Exception as exc:
+                # Failure: an error of ours over one message ends the only task that
+                # speaks to a host. That host would count this one as dead, and with all
+                # links alike no host would be named to callers but itself.
+                logs.event(
+                    "peer-failed", "ERROR", host_id=self.info.host_id, error=repr(exc)
+                )
             await asyncio.sleep(REDIAL_S)
 
     async def _session(self) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -361,6 +361,29 @@
         assert len(left.requests) == before
 
 
+@in_loop
+async def test_an_error_over_one_greeting_does_not_silence_a_host(monkeypatch):
+    # One message to another host cannot be written, by an error of ours. The stream to
+    # it was never opened again, and the other host took this one for dead.
+    async with fleet() as made:
+        made.configure()
+        first = await made.ready(await made.add_host())
+        greeting = type(first._peers).greeting
+        broken = [True, True]
+
+        def greets_badly(peers):
+            if broken and peers is first._peers:
+                broken.pop()
+                raise TypeError("not iterable")
+            return greeting(peers)
+
+        monkeypatch.setattr(type(first._peers), "greeting", greets_badly)
+        second = await made.ready(await made.add_host())
+        entries = second.gateway.roster.entries
+        await until(lambda: any(e.live(second.gateway.now()) for e in entries.values()))
+        assert not broken
+
+
 @in_loop
 async def test_callers_are_told_of_live_hosts_only():
     async with fleet() as made:
