The test of a broken greeting has a server to wait for

As committed before it never reached the greeting, so its red and green there meant nothing: hosts of the harness are ready only when a server is known.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -367,6 +367,7 @@
     # it was never opened again, and the other host took this one for dead.
     async with fleet() as made:
         made.configure()
+        await made.add_server(answers_at_once)
         first = await made.ready(await made.add_host())
         greeting = type(first._peers).greeting
         broken = [True, True]
