--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -6,7 +6,7 @@
 import h11
 import pytest
 
-from lacewingcross.core.placement import ServerEntry
+from lacewingcross.core.backend_state import ServerEntry
 from lacewingcross.gateway.backend_connection import BackendConnection
 from lacewingcross.gateway.backends import CONNECTION_LIMIT, Backends
 from lacewingcross.http1_client import HttpError
