--- a/lacewingcross/core/homes.py
+++ b/lacewingcross/core/homes.py
@@ -4,9 +4,9 @@
 between regions takes 24 ms and cold work 450 ms more than warm work. With spilling from
 each region's home to those of the others, each object was cold on seven to nine servers
 in turn, and cold work filled the slots. Now what finds the local home full goes to the
-one home that all regions share, which is warm. Two homes by one order over all regions
-instead moved a third more bytes between regions (worth, mean of six days of fleets with
-ways of 70, 40 and 24 ms: 0.719, 0.696 and 0.652 against 0.782, 0.745 and 0.656).
+one home that all regions share, which is warm. With two homes by one order over all
+regions instead, two thirds of the answers crossed regions (worth of three heavy days,
+three seeds each: 0.652 against 0.656).
 """
 
 from collections.abc import Iterable
