--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -12,6 +12,11 @@
     return f"{head}X-Lacewingcross-Request-Id: {request_id}\r\n\r\n".encode()
 
 
+async def connect(app):
+    """Open a caller's connection to a host."""
+    return await asyncio.open_connection(*split_address(app.gateway.cfg.entry))
+
+
 async def answers_first_late(received, writer):
     """Answer with the path; the first request takes longest."""
     await asyncio.sleep(0.2 if received.target.endswith("1") else 0.0)
@@ -27,9 +32,7 @@
         made.configure()
         await made.add_server(answers_first_late)
         app = await made.ready(await made.add_host())
-        reader, writer = await asyncio.open_connection(
-            *split_address(app.gateway.cfg.entry)
-        )
+        reader, writer = await connect(app)
         writer.write(b"".join(request(f"/safe/{n}", f"r{n}") for n in (1, 2, 3)))
         seen = []
         for _ in range(3):
@@ -48,9 +51,7 @@
         made.configure()
         server = await made.add_server(answers_first_late)
         app = await made.ready(await made.add_host())
-        reader, writer = await asyncio.open_connection(
-            *split_address(app.gateway.cfg.entry)
-        )
+        reader, writer = await connect(app)
         writer.write(request("/safe/1", "r1") + request("/safe/2", "r2"))
         while not server.requests:
             await asyncio.sleep(0.01)
@@ -78,7 +79,7 @@
         made.configure()
         server = await made.add_server(never_answers)
         app = await made.ready(await made.add_host())
-        _, writer = await asyncio.open_connection(*split_address(app.gateway.cfg.entry))
+        _, writer = await connect(app)
         writer.write(request("/safe/1", "r1") + request("/safe/2", "r2"))
         while not server.requests:
             await asyncio.sleep(0.01)
