--- a/lacewingcross/core/active.py
+++ b/lacewingcross/core/active.py
@@ -12,6 +12,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator
+from math import fsum
 
 from .backend_state import Server
 from .membership import HostInfo
@@ -102,7 +103,8 @@
     """
     order = list(_in_order(hosts))
     least = _spread_count(order)
-    half = MOST_PART * sum(info.cores for info in hosts)
+    # The same sum in any order: hosts list each other differently and must agree.
+    half = MOST_PART * fsum(info.cores for info in hosts)
     taken = 0.0
     for count, info in enumerate(order, 1):
         taken += info.cores
--- a/lacewingcross/core/roster.py
+++ b/lacewingcross/core/roster.py
@@ -211,50 +211,24 @@
 
     def review(self, now: float) -> bool:
         """Work out anew who is active; return whether that has changed."""
-        told = self._told_active(now)
-        active = self._active_as_told(told, now) if told else self._chosen(now)
         was_active = self.is_active
         before = self.active.keys()
-        self.active = active
-        for host_id in active.keys() & self.entries.keys():
+        self.active = self._chosen(now)
+        if not self.is_active:
+            # Active hosts know of all others, this one only of some.
+            self.active = self._active_as_told(now) or self.active
+        for host_id in self.active.keys() & self.entries.keys():
             self.entries[host_id].active_at = now
         if self.is_active:
             if not self.starting:
                 self.last_active_at = now
             if not was_active:
                 self.active_since = now
-        return before != active.keys()
-
-    def _told_active(self, now: float) -> list[Told]:
-        """Return what relays tell of active hosts; nothing at an active host.
-
-        While any host counts this one among the active ones it is one of them.
-        """
-        live = self._tellers(now, SILENT_AFTER_S)
-        if any(not told.active for told in live):
-            return []
-        return live or self._tellers(now, TOLD_COUNTS_S)
-
-    def _tellers(self, now: float, within_s: float) -> list[Told]:
-        return [
-            told
-            for sender, told in self._told.items()
-            if sender in self.entries and now - self.entries[sender].heard_at < within_s
-        ]
-
-    def _active_as_told(self, told: list[Told], now: float) -> dict[str, HostInfo]:
-        named = {host_id for item in told for host_id in item.hosts}
-        live = self.live_ids(now)
-        return {
-            host_id: entry.info
-            for host_id, entry in self.entries.items()
-            if host_id in named
-            and not entry.leaving
-            and (host_id in live or entry.heard_at == float("-inf"))
-        }
+        return before != self.active.keys()
 
     def _chosen(self, now: float) -> dict[str, HostInfo]:
-        live = self.live_ids(now)
+        """Return the active hosts by what this host knows itself."""
+        live = self.live_ids(now) or self._told_ids(now)
         may_be = [
             entry.info
             for host_id, entry in self.entries.items()
@@ -264,6 +238,37 @@
             may_be.append(self.own)
         return {info.host_id: info for info in active_hosts(may_be, self.needed)}
 
+    def _active_as_told(self, now: float) -> dict[str, HostInfo]:
+        named = self._told_ids(now)
+        return {
+            host_id: entry.info
+            for host_id, entry in self.entries.items()
+            if host_id in named and not entry.leaving
+        }
+
+    def _told_ids(self, now: float) -> set[str]:
+        """Return the active hosts as relays tell them, or told them last.
+
+        Failure: the relays of a host are lost together. It would take itself for the
+        only host that is left, and be named to callers.
+        """
+        told = self._tellers(now, SILENT_AFTER_S)
+        told = [t for t in told if t.active] or self._tellers(now, TOLD_COUNTS_S)
+        named = {host_id for item in told if item.active for host_id in item.hosts}
+        live = self.live_ids(now)
+        return {
+            host_id
+            for host_id in named & self.entries.keys()
+            if host_id in live or self.entries[host_id].heard_at == float("-inf")
+        }
+
+    def _tellers(self, now: float, within_s: float) -> list[Told]:
+        return [
+            told
+            for sender, told in self._told.items()
+            if sender in self.entries and now - self.entries[sender].heard_at < within_s
+        ]
+
     def _presumed(self, entry: Entry, now: float) -> bool:
         unheard = entry.heard_at == float("-inf")
         return unheard and now - entry.known_since < PRESUMED_S
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -62,12 +62,8 @@
         if link is None:
             return [hello, self._alive(wants=True)]
         wants = link.info.host_id in wanted(gateway.roster, gateway.now())
-        greeting = [hello, self._alive(wants=wants)]
-        hosts = self._hosts_for(link)
-        if hosts is not None:
-            link.told_hosts = hosts
-            greeting.append(hosts)
-        return greeting
+        link.told_hosts = self._hosts_for(link)
+        return [hello, self._alive(wants=wants), link.told_hosts]
 
     def publish(self, update: Update) -> None:
         """Tell all hosts that this one speaks to of an update from the store."""
@@ -137,34 +133,39 @@
             handled or [],
         )
 
-    def _hosts_for(self, link: Link) -> msg.KnownHosts | None:
-        """Return the hosts to tell another one of, None at a host that stands by."""
+    def _hosts_for(self, link: Link) -> msg.KnownHosts:
+        """Return the hosts to tell another one of.
+
+        Failure: a host takes itself or another one for active at its start, when it has
+        read a list in which the larger hosts are missing yet. Whoever it speaks to
+        tells it better, also when that is a host that stands by.
+        """
         roster = self.gateway.roster
-        if not roster.is_active:
-            return None
-        now = self.gateway.now()
+        entries = roster.entries
         active = link.info.host_id not in roster.active
+        infos: list[HostInfo] = []
         if active:
-            infos = [roster.own]
-            infos += [info for info in roster.active.values() if info != roster.own]
-        else:
-            infos = roster.heard_hosts(now)
+            infos = list(roster.active.values())
+        elif roster.is_active:
+            infos = roster.heard_hosts(self.gateway.now())
         starting = [
             info.host_id
             for info in infos
-            if info.host_id in roster.entries and roster.entries[info.host_id].starting
+            if info.host_id in entries and entries[info.host_id].starting
         ]
+        if active and roster.is_active and roster.starting:
+            starting.append(roster.own.host_id)
         return msg.KnownHosts(active, [member_fields(info) for info in infos], starting)
 
     def _tell_hosts(self) -> None:
         """Tell each host that needs it who lives, when that has changed."""
-        told: dict[bool, msg.KnownHosts | None] = {}
+        told: dict[bool, msg.KnownHosts] = {}
         for host_id, link in self._links.items():
             active = host_id in self.gateway.roster.active
             if active not in told:
                 told[active] = self._hosts_for(link)
             hosts = told[active]
-            if hosts is not None and hosts != link.told_hosts:
+            if hosts != link.told_hosts:
                 link.told_hosts = hosts
                 link.send(hosts)
 
--- /dev/null
+++ b/tests/test_catching_up.py
@@ -0,0 +1,30 @@
+"""When a host asks another one for what it misses."""
+
+from lacewingcross.core.catching_up import ASK_EVERY_S, BEHIND_S, CatchUp
+from lacewingcross.core.replica import Kind
+
+
+def test_a_host_that_starts_asks_one_of_its_peers():
+    # A host starts in a fleet of 195. Asking each peer for everything brought it as
+    # many copies of all servers as there are hosts.
+    catch_up = CatchUp()
+    asked = [catch_up.should_ask(Kind.SERVER, 0, 7, 1.0) for _ in range(10)]
+    assert asked == [True] + [False] * 9
+    assert catch_up.should_ask(Kind.CONFIG, 0, 7, 1.0)
+    assert catch_up.should_ask(Kind.SERVER, 0, 7, 1.0 + ASK_EVERY_S)
+
+
+def test_a_push_that_is_on_its_way_is_waited_for():
+    catch_up = CatchUp()
+    assert not catch_up.should_ask(Kind.SERVER, 5, 7, 1.0)
+    assert not catch_up.should_ask(Kind.SERVER, 7, 7, 1.1)
+    assert not catch_up.should_ask(Kind.SERVER, 7, 9, 1.0 + BEHIND_S)
+
+
+def test_a_push_that_was_lost_is_asked_for():
+    # The store is away, and the stream that carried the last push broke. Nobody pushes
+    # again; without a question the host would keep the old configuration.
+    catch_up = CatchUp()
+    assert not catch_up.should_ask(Kind.CONFIG, 5, 7, 1.0)
+    assert not catch_up.should_ask(Kind.CONFIG, 5, 7, 1.2)
+    assert catch_up.should_ask(Kind.CONFIG, 5, 7, 1.0 + BEHIND_S)
