A host without a copy reads the store soon after a restart

Change: active hosts with nothing wait 60 ms after their start, on a first start of the whole system as long as before.

--- a/lacewingcross/core/watching.py
+++ b/lacewingcross/core/watching.py
@@ -25,10 +25,15 @@
 # Longest silence that any host bears, in seconds. A change made right after the last
 # word is then in force 2.1 s later.
 PATIENCE_MAX_S = 2.0
-# The same for a host that has nothing yet, in seconds: reading the store takes some
-# 20 ms, telling the others as much, and hosts that start together do so within 300 ms.
-EMPTY_S = 0.4
-EMPTY_MAX_S = 0.8
+# The same for a host that has nothing yet and that callers are sent to, in seconds: a
+# peer that has everything tells it within that time of its start. With 0.4 to 0.8, a
+# fleet of twelve hosts that lost power, and whose first host came back last, served
+# 0.5 s later and refused 353 of 1,315 requests of two seconds, not 85.
+EMPTY_S = 0.06
+# The same when the whole system starts for the first time, in seconds, later for each
+# rank: nobody has anything, and callers come later.
+FIRST_EMPTY_S = 0.4
+FIRST_EMPTY_MAX_S = 0.8
 # A host that the store turned away counts as unable to follow it for this long, in
 # seconds; then it may try again when its rank says so.
 TURNED_AWAY_S = 5.0
@@ -41,12 +46,17 @@
     ----------
     started_at : float
         When the host started, a monotonic time in seconds.
+    first_start : bool
+        Whether the whole system starts for the first time.
     """
 
-    __slots__ = ("_failed_at", "_started_at", "_told_at")
+    __slots__ = ("_failed_at", "_first_start", "_started_at", "_told_at")
 
-    def __init__(self, started_at: float = float("-inf")) -> None:
+    def __init__(
+        self, started_at: float = float("-inf"), *, first_start: bool = False
+    ) -> None:
         self._failed_at = float("-inf")
+        self._first_start = first_start
         self._started_at = started_at
         self._told_at: dict[Kind, float] = {}
 
@@ -86,24 +96,30 @@
         now : float
             Monotonic time in seconds.
         empty : bool
-            Whether this host has nothing of the kind yet, so that it cannot serve.
+            Whether callers are sent to this host, and it has nothing of the kind yet.
         """
         if rank is None:
             return False
         if rank == 0:
             return True
-        return self._silence(kind, now) > patience(rank, empty=empty)
+        bears_s = self._empty_patience(rank) if empty else patience(rank)
+        return self._silence(kind, now) > bears_s
+
+    def _empty_patience(self, rank: int) -> float:
+        """Return for how long a host that cannot serve yet bears silence, in seconds.
+
+        Failure: all hosts lose power, and the one whose turn it is to read the store
+        comes back last. The others would refuse callers until then.
+        """
+        if not self._first_start:
+            return EMPTY_S
+        later_s = (rank - 1) * PATIENCE_EACH_S
+        return min(FIRST_EMPTY_MAX_S, FIRST_EMPTY_S + later_s)
 
     def _silence(self, kind: Kind, now: float) -> float:
         return now - self._told_at.get(kind, self._started_at)
 
 
-def patience(rank: int, *, empty: bool = False) -> float:
-    """Return how long a host of this rank bears silence, in seconds.
-
-    Failure: all hosts lose power, and the one whose turn it is to read the store does
-    not come back. The others must not refuse callers until its silence is certain.
-    """
-    if empty:
-        return min(EMPTY_MAX_S, EMPTY_S + (rank - 1) * PATIENCE_EACH_S)
+def patience(rank: int) -> float:
+    """Return how long a host of this rank bears silence, in seconds."""
     return min(PATIENCE_MAX_S, PATIENCE_S + (rank - 1) * PATIENCE_EACH_S)
--- a/lacewingcross/gateway/context.py
+++ b/lacewingcross/gateway/context.py
@@ -62,7 +62,7 @@
         self.cfg = cfg
         self.steering = steering
         self.roster = roster
-        self.duty = WatchDuty(clock.monotonic())
+        self.duty = WatchDuty(clock.monotonic(), first_start=cfg.first_start)
         self.incarnation = incarnation
         self.metrics = Metrics()
         self.backends = Backends(
--- a/lacewingcross/gateway/following.py
+++ b/lacewingcross/gateway/following.py
@@ -56,7 +56,7 @@
         return follow
 
     def _my_duty(self, kind: Kind) -> bool:
-        empty = not self._known(kind)
+        empty = not self._known(kind) and self._gateway.roster.is_active
         now = self._gateway.now()
         return self._duty.mine(kind, self._gateway.rank, now, empty=empty)
 
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -58,6 +58,25 @@
     assert not duty.mine(Kind.CONFIG, 1, 13.2)
 
 
+def test_a_host_that_cannot_serve_yet_reads_the_store_soon():
+    # All hosts lose power, and the one whose turn it is to read the store comes back
+    # last. Waiting for it as usual, the others refused callers for another 1.5 s.
+    again = WatchDuty(10.0)
+    assert not again.mine(Kind.CONFIG, 5, 10.0, empty=True)
+    assert again.mine(Kind.CONFIG, 5, 10.1, empty=True)
+    assert not again.mine(Kind.CONFIG, 5, 10.1)
+    assert not again.mine(Kind.CONFIG, None, 20.0, empty=True)
+
+
+def test_a_first_start_reads_the_store_once():
+    # Hundreds of hosts start for the first time, and callers come seconds later. Each
+    # call of the store is paid for; the first host tells the others.
+    first = WatchDuty(10.0, first_start=True)
+    assert first.mine(Kind.CONFIG, 0, 10.0, empty=True)
+    assert not any(first.mine(Kind.CONFIG, n, 10.3, empty=True) for n in (1, 2, 99))
+    assert all(first.mine(Kind.CONFIG, n, 11.0, empty=True) for n in (1, 2, 99))
+
+
 def test_a_host_that_the_store_turns_away_says_so_for_a_while():
     duty = WatchDuty()
     assert not duty.turned_away(10.0)
