Messages between hosts are counted by kind; a command prints them

Cause: what hosts tell each other could not be told apart on the metrics page. Also in this commit, still on trial: an upload's first home in the own region (switch uploads_near).

--- a/lacewingcross/cli/main.py
+++ b/lacewingcross/cli/main.py
@@ -10,6 +10,7 @@
 from .blocks import pack_blocks
 from .demo import demo
 from .examples import example
+from .messages import messages
 from .reports import report
 
 EXIT_USER_ERROR = 1
@@ -34,6 +35,7 @@
     "report": report,
     "example": example,
     "demo": demo,
+    "messages": messages,
 }
 
 
--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -155,7 +155,8 @@
 
     def _in_order(self, ask: Ask) -> list[Server]:
         if ask.key:
-            return self._homes.order(ask.service, self._thing(ask))
+            near = ask.large and self._policy.uploads_near
+            return self._homes.order(ask.service, self._thing(ask), near=near)
         return self._homes.of_service(ask.service)
 
     def _failing_alike(self, service: str) -> bool:
--- a/lacewingcross/core/routes.py
+++ b/lacewingcross/core/routes.py
@@ -14,7 +14,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Route:
-    """One route as operators declared it; durations in seconds."""
+    """One route as operators declared it; durations in seconds.
+
+    `large_bodies` says that its requests are uploads, tens of kilobytes and more.
+    """
 
     name: str
     host_name: str
@@ -27,6 +30,7 @@
     priority: int
     affinity: bool
     home_regions: frozenset[str]
+    large_bodies: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/gateway/hearing.py
+++ b/lacewingcross/gateway/hearing.py
@@ -21,6 +21,9 @@
 # dials again.
 QUIET_S = 3 * ALIVE_EVERY_S
 
+# Beginning of the counters of messages from other hosts; the message's name follows.
+HEARD = "peers.heard."
+
 SendTo = Callable[[HostInfo, msg.Message], None]
 PassOn = Callable[[HostInfo, msg.StoreChanges], None]
 
@@ -83,6 +86,7 @@
 
     def _take(self, info: HostInfo, incarnation: int, message: msg.Message) -> None:
         now = self._gateway.now()
+        self._gateway.metrics.count(f"{HEARD}{type(message).__name__}")
         if isinstance(message, msg.Alive):
             self._take_alive(info, incarnation, message, now)
         elif isinstance(message, msg.StoreChanges):
--- a/lacewingcross/gateway/link.py
+++ b/lacewingcross/gateway/link.py
@@ -21,6 +21,10 @@
 # the revisions of later ones that it missed some, and asks for them.
 QUEUE_MAX = 2000
 
+# Beginnings of the counters of messages to other hosts; the message's name follows.
+SENT = "peers.sent."
+SENT_BYTES = "peers.sent-bytes."
+
 Greeting = Callable[["Link"], list[msg.Message]]
 
 
@@ -56,13 +60,19 @@
 
     def send(self, message: msg.Message) -> None:
         """Queue a message for the host."""
-        self.send_frame(encode(message))
+        self.send_frame(encode(message), type(message))
 
-    def send_frame(self, frame: bytes) -> None:
-        """Queue an encoded message for the host."""
+    def send_frame(self, frame: bytes, kind: type[msg.Message]) -> None:
+        """Queue an encoded message of a kind for the host."""
+        self._count(frame, kind)
         if self._queue.put(frame):
             self._gateway.metrics.count("peers.dropped")
 
+    def _count(self, frame: bytes, kind: type[msg.Message]) -> None:
+        metrics = self._gateway.metrics
+        metrics.count(f"{SENT}{kind.__name__}")
+        metrics.count(f"{SENT_BYTES}{kind.__name__}", len(frame))
+
     async def _run(self) -> None:
         while True:
             try:
@@ -99,7 +109,9 @@
         self.told_hosts = None
         try:
             for message in self._greeting(self):
-                writer.write(encode(message))
+                frame = encode(message)
+                self._count(frame, type(message))
+                writer.write(frame)
             await self._queue.pump(reader, writer)
         finally:
             writer.transport.abort()
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -70,7 +70,7 @@
         """Tell all hosts that this one speaks to of an update from the store."""
         frame = encode(changes_message(update, fresh=True))
         for link in self._links.values():
-            link.send_frame(frame)
+            link.send_frame(frame, msg.StoreChanges)
 
     def _pass_on(self, info: HostInfo, message: msg.StoreChanges) -> None:
         """Tell the hosts that stand by what another host has from the store."""
@@ -82,7 +82,7 @@
             if host_id in active or host_id == info.host_id:
                 continue
             frame = frame or encode(replace(message, hops=message.hops + 1))
-            link.send_frame(frame)
+            link.send_frame(frame, msg.StoreChanges)
 
     def announce(self) -> None:
         """Tell all hosts at once whether callers should use this one."""
@@ -113,7 +113,7 @@
                 frames[form] = encode(self._alive(*told, wants=form[0]))
             link.told = counts if active else {}
             link.told_at = now
-            link.send_frame(frames[form])
+            link.send_frame(frames[form], msg.Alive)
 
     def _alive(
         self,
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -210,6 +210,7 @@
             frozenset(self._tried),
             route.target_s,
             route.name,
+            route.large_bodies,
         )
 
     def _choose(self) -> Choice | Refusal:
