Half of a region's time bounds which sizes are named, the need how many; a fleet model

Cause: after the loss of all large hosts of a region its small ones took themselves for active beside those that the others had chosen: knowing few hosts, each reached half of what it knew sooner and then counted the whole size. Found by the model of a fleet of rosters, with a new test that fails on the code before. Change: within the smallest size that half of the time reaches, the need still decides; so a host that knows fewer never chooses more. The model stands in a module of its own; a state machine plays losses, cuts and restarts on it; three tests take a guard out. Ruled out: obeying any host that says another one stands by (hosts with incomplete lists then kept large ones out).

--- a/lacewingcross/core/active.py
+++ b/lacewingcross/core/active.py
@@ -106,13 +106,16 @@
     # The same sum in any order: hosts list each other differently and must agree.
     half = MOST_PART * fsum(info.cores for info in hosts)
     taken = 0.0
+    smallest = 0.0
     for count, info in enumerate(order, 1):
+        if info.cores < smallest:
+            return order[: count - 1]
         taken += info.cores
         if count >= least and count * info.cores >= needed:
             return order[:count]
         if taken >= half:
-            # Hosts of one size stay together, so an even fleet names all.
-            return [other for other in order if other.cores >= info.cores]
+            # Hosts of one size stay together, so an even fleet names all under load.
+            smallest = info.cores
     return order
 
 
--- a/lacewingcross/core/choices.py
+++ b/lacewingcross/core/choices.py
@@ -12,8 +12,7 @@
 
     `kind` names the sort of work (the route); `urgent` requests may also wait at a
     server whose slots are all taken; `regions` are those that may serve it, empty for
-    all; `tried` are servers that this request was sent to before; `large` bodies are
-    dear to carry between regions.
+    all; `tried` are servers that this request was sent to before.
     """
 
     service: str
@@ -23,7 +22,6 @@
     tried: frozenset[str] = frozenset()
     target_s: float = 0.0
     kind: str = ""
-    large: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/homes.py
+++ b/lacewingcross/core/homes.py
@@ -32,7 +32,7 @@
     def __init__(self, region: str) -> None:
         self._region = region
         self._by_service: dict[str, list[Server]] = {}
-        self._orders: dict[tuple[str, str, bool], list[Server]] = {}
+        self._orders: dict[tuple[str, str], list[Server]] = {}
 
     def regroup(self, servers: Iterable[Server]) -> None:
         """Take over which servers there are; those that drain get nothing new."""
@@ -47,20 +47,17 @@
         """Return the servers of a service."""
         return self._by_service.get(service, [])
 
-    def order(self, service: str, key: str, *, near: bool = False) -> list[Server]:
+    def order(self, service: str, key: str) -> list[Server]:
         """Return the servers of a service: the key's home, the local home, the others.
 
-        The local home is the first of this host's region besides the home itself. For
-        `near` keys it comes before the home.
+        The local home is the first of this host's region besides the home itself.
         """
-        cached = (service, key, near)
+        cached = (service, key)
         order = self._orders.get(cached)
         if order is None:
             by_id = {srv.entry.server_id: srv for srv in self.of_service(service)}
             order = [by_id[server_id] for server_id in ranked(key, by_id)]
             self._move_up_local(order)
-            if near and len(order) > 1 and order[1].region == self._region:
-                order[0], order[1] = order[1], order[0]
             if len(self._orders) >= MAX_ORDERS:
                 self._orders.clear()
             self._orders[cached] = order
--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -155,8 +155,7 @@
 
     def _in_order(self, ask: Ask) -> list[Server]:
         if ask.key:
-            near = ask.large and self._policy.uploads_near
-            return self._homes.order(ask.service, self._thing(ask), near=near)
+            return self._homes.order(ask.service, self._thing(ask))
         return self._homes.of_service(ask.service)
 
     def _failing_alike(self, service: str) -> bool:
--- a/lacewingcross/core/policy.py
+++ b/lacewingcross/core/policy.py
@@ -27,8 +27,6 @@
         Let requests of an urgent kind wait where others are refused.
     failing_alike : bool
         Pass over no server for failing when all of its service fail.
-    uploads_near : bool
-        Let the home of an upload's key be in the host's own region.
     shed_back_soon : bool
         Ask callers back at once whose request a server with free slots has shed.
     """
@@ -42,5 +40,4 @@
     warm_waits: bool = True
     urgent_waits: bool = True
     failing_alike: bool = True
-    uploads_near: bool = True
     shed_back_soon: bool = True
--- a/lacewingcross/core/routes.py
+++ b/lacewingcross/core/routes.py
@@ -14,10 +14,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Route:
-    """One route as operators declared it; durations in seconds.
-
-    `large_bodies` says that its requests are uploads, tens of kilobytes and more.
-    """
+    """One route as operators declared it; durations in seconds."""
 
     name: str
     host_name: str
@@ -30,7 +27,6 @@
     priority: int
     affinity: bool
     home_regions: frozenset[str]
-    large_bodies: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -210,7 +210,6 @@
             frozenset(self._tried),
             route.target_s,
             route.name,
-            route.large_bodies,
         )
 
     def _choose(self) -> Choice | Refusal:
--- a/lacewingcross/platform/objects.py
+++ b/lacewingcross/platform/objects.py
@@ -69,7 +69,6 @@
         priority=int(data.get("priority") or 0),
         affinity=bool(data.get("affinity")),
         home_regions=frozenset(data.get("home_regions") or ()),
-        large_bodies=data["route_type"] == "upload",
     )
 
 
--- a/tests/test_contacts.py
+++ b/tests/test_contacts.py
@@ -4,112 +4,14 @@
 
 import pytest
 
+from lacewingcross.core import contacts, duties, roster
 from lacewingcross.core.contacts import LINGER_S, RELAYS, wanted
 from lacewingcross.core.duties import part_of_fleet, part_of_region, rank
 from lacewingcross.core.membership import HostInfo
 from lacewingcross.core.named_hosts import addresses_for
-from lacewingcross.core.roster import SILENT_AFTER_S, Roster, Told
-
-LARGE = 2.15
-SMALL = 0.43
-STEP_S = 0.1
-
-
-def infos(small=8, large=2, regions="ab"):
-    return [
-        HostInfo(
-            f"{region}{domain}-{number}",
-            region,
-            f"{region}{domain}",
-            f"10.0.{region}{domain}.{number}:1",
-            f"10.0.{region}{domain}.{number}:2",
-            cores=LARGE if number < large else SMALL,
-        )
-        for region in regions
-        for domain in (1, 2)
-        for number in range(large + small)
-    ]
-
-
-class Played:
-    """Rosters in virtual time; each tells what the daemon would, without a network.
-
-    `cut` holds pairs of hosts that cannot reach each other, `dead` those that ended.
-    """
-
-    def __init__(self, hosts, *, knows=lambda own, other: True, needed=6.0):
-        self.now = 0.0
-        self.dead = set()
-        self.cut = set()
-        self.needed = needed
-        self.rosters = {}
-        for own in hosts:
-            self.start(own, [other for other in hosts if knows(own, other)])
-
-    def start(self, own, others):
-        made = Roster(own)
-        made.needed = self.needed
-        made.listed = True
-        made.starting = False
-        for other in others:
-            made.learn(other, self.now)
-        made.review(self.now)
-        self.rosters[own.host_id] = made
-        self.dead.discard(own.host_id)
-
-    def reach(self, a, b):
-        return (
-            b in self.rosters
-            and b not in self.dead
-            and (a, b) not in self.cut
-            and (b, a) not in self.cut
-        )
-
-    def _speak(self, name, made):
-        speaks = wanted(made, self.now) | {
-            other for other, e in made.entries.items() if e.wants and e.live(self.now)
-        }
-        for other in speaks:
-            if self.reach(name, other):
-                self._hear(self.rosters[other], made, other)
-
-    def _hear(self, listener, made, name):
-        wants = name in wanted(made, self.now)
-        listener.heard(made.own, 1, self.now, leaving=made.leaving, wants=wants)
-        active = name not in made.active
-        heard = made.heard_hosts(self.now) if made.is_active else []
-        known = made.active.values() if active else heard
-        hosts = {info.host_id: info for info in known}
-        listener.told(made.own.host_id, Told(active, hosts), self.now)
-
-    def play(self, seconds):
-        for _ in range(round(seconds / STEP_S)):
-            self.now += STEP_S
-            alive = [(n, r) for n, r in self.rosters.items() if n not in self.dead]
-            for name, made in alive:
-                self._speak(name, made)
-            for _, made in alive:
-                made.review(self.now)
-
-    def living(self):
-        return [r for n, r in self.rosters.items() if n not in self.dead]
-
-    def active(self):
-        return {r.own.host_id for r in self.living() if r.is_active}
-
-    def large(self):
-        return {r.own.host_id for r in self.living() if r.own.cores == LARGE}
-
-
-def assert_settled(played):
-    """All living hosts agree on who is active, and name just these."""
-    active = played.active()
-    for made in played.living():
-        assert set(made.active) == active, made.own.host_id
-        for region in "ab":
-            named = addresses_for(made, region, frozenset(), played.now)
-            own = {played.rosters[n].own for n in active}
-            assert set(named) == {i.entry for i in own if i.region == region}
+from lacewingcross.core.roster import SILENT_AFTER_S
+
+from .fleet_model import LARGE, Played, assert_settled, infos
 
 
 def test_a_fleet_agrees_on_its_active_hosts_and_the_others_have_two_relays():
@@ -165,6 +67,19 @@
     assert_settled(played)
 
 
+def test_a_host_that_loses_all_near_active_ones_does_not_think_itself_alone():
+    # All large hosts of a region die together: the relays of its standby hosts and
+    # those that they would try next. Each must go on to hosts of the other region; one
+    # that took itself for the only host would be all that its callers are named.
+    played = Played(infos())
+    played.play(3.0)
+    played.dead.update(name for name in played.large() if name.startswith("a"))
+    for _ in range(60):
+        played.play(0.1)
+        assert all(len(made.active) > 1 for made in played.living())
+    assert_settled(played)
+
+
 def test_standby_hosts_take_over_when_all_active_ones_die():
     # Every large host is lost at once. The small ones, which never spoke to each other,
     # find one another and serve.
@@ -253,3 +168,24 @@
     ranks = [rank(made, played.now) for made in played.living()]
     assert ranks.count(0) == 1
     assert ranks.count(None) == sum(not r.is_active for r in played.living())
+
+
+def test_without_dialling_lost_hosts_a_cut_would_stay(monkeypatch):
+    # The guard taken out: each side of a cut goes on alone after it has healed.
+    monkeypatch.setattr(contacts, "_lost_active", lambda roster, now: iter(()))
+    with pytest.raises(AssertionError):
+        test_a_cut_between_regions_heals()
+
+
+def test_without_what_was_told_last_a_host_would_think_itself_alone(monkeypatch):
+    # The guard taken out: what relays told ends with their silence.
+    monkeypatch.setattr(roster, "TOLD_COUNTS_S", SILENT_AFTER_S)
+    with pytest.raises(AssertionError):
+        test_a_host_that_loses_all_near_active_ones_does_not_think_itself_alone()
+
+
+def test_without_counting_those_that_share_parts_would_exceed_the_whole(monkeypatch):
+    # The guard taken out: once settled, each active host takes the whole for itself.
+    monkeypatch.setattr(duties, "_shares", lambda roster, host_id, entry, now: False)
+    with pytest.raises(AssertionError):
+        test_parts_of_the_whole_add_up_to_one_at_most()
--- /dev/null
+++ b/tests/test_fleet_machine.py
@@ -0,0 +1,87 @@
+"""Any series of losses, cuts and restarts ends in one fleet that agrees."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lacewingcross.core.duties import part_of_fleet, part_of_region, rank
+from lacewingcross.core.named_hosts import addresses_for
+
+from .fleet_model import Played, assert_settled, infos
+
+HOSTS = infos(small=3)
+NAMES = [info.host_id for info in HOSTS]
+BY_NAME = {info.host_id: info for info in HOSTS}
+DOMAINS = sorted({info.failure_domain for info in HOSTS})
+# Longer than any memory of who was there (`FORGET_AFTER_S` aside, after which a host
+# that comes back names itself again), in seconds.
+SETTLED_S = 12.0
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Hosts that die, start again, leave and are cut off in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.played = Played(HOSTS)
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.5, 6.0]))
+    def time_passes(self, seconds):
+        self.played.play(seconds)
+
+    @rule(names=st.sets(st.sampled_from(NAMES), max_size=6))
+    def hosts_die(self, names):
+        if len(self.played.dead | names) < len(NAMES):
+            self.played.dead.update(names)
+
+    @rule(domain=st.sampled_from(DOMAINS))
+    def a_failure_domain_dies(self, domain):
+        names = {i.host_id for i in HOSTS if i.failure_domain == domain}
+        if len(self.played.dead | names) < len(NAMES):
+            self.played.dead.update(names)
+
+    @precondition(lambda self: self.played.dead)
+    @rule(data=st.data())
+    def a_host_starts_again(self, data):
+        name = data.draw(st.sampled_from(sorted(self.played.dead)))
+        self.played.start(BY_NAME[name], HOSTS)
+
+    @rule(domain=st.sampled_from(DOMAINS))
+    def a_failure_domain_is_cut_off(self, domain):
+        inside = {i.host_id for i in HOSTS if i.failure_domain == domain}
+        self.played.cut |= {(x, y) for x in inside for y in NAMES if y not in inside}
+
+    @rule(pair=st.tuples(st.sampled_from(NAMES), st.sampled_from(NAMES)))
+    def two_hosts_lose_each_other(self, pair):
+        self.played.cut.add(pair)
+
+    @rule()
+    def cuts_heal(self):
+        self.played.cut.clear()
+
+    @invariant()
+    def everyone_names_somebody(self):
+        for made in self.played.living():
+            assert addresses_for(made, "a", frozenset(), self.played.now)
+
+    def teardown(self):
+        played = self.played
+        played.cut.clear()
+        for name in sorted(played.dead):
+            played.start(BY_NAME[name], HOSTS)
+        played.play(SETTLED_S)
+        assert_settled(played)
+        living = played.living()
+        ranks = [rank(made, played.now) for made in living]
+        assert ranks.count(0) == 1
+        assert sum(part_of_fleet(made, played.now) for made in living) <= 1 + 1e-9
+        for region in "ab":
+            here = [made for made in living if made.own.region == region]
+            parts = sum(part_of_region(made, played.now) for made in here)
+            assert parts <= 1 + 1e-9
+
+
+TestFleetMachine = FleetMachine.TestCase
+TestFleetMachine.settings = settings(
+    max_examples=25, stateful_step_count=12, deadline=None
+)
