--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -206,7 +206,9 @@
         }
         self.store.put("config", "main", spec)
 
-    async def add_host(self, *, domain="a1", platform="", seeds=(), settings=""):
+    async def add_host(
+        self, *, domain="a1", platform="", seeds=(), settings="", cores=1.0
+    ):
         number = len(self.apps)
         cfg = GatewaySettings(
             host_id=f"host-{number}",
@@ -220,6 +222,7 @@
             platform=platform or self.store_address,
             seeds=tuple(seeds),
             metrics_port=free_port(),
+            cores=cores,
             bounds=Bounds(grace_s=4.0),
         )
         app = GatewayApp(cfg, settings, SystemClock(), random.Random(number))
--- /dev/null
+++ b/tests/test_standby.py
@@ -0,0 +1,88 @@
+"""Hosts that stand by: a fleet of two large hosts and three small ones."""
+
+import asyncio
+import functools
+import json
+
+from .gateway_parts import answers_at_once, ask, fleet, resolve, until
+
+LARGE = 2.0
+SMALL = 0.4
+
+
+def in_loop(test):
+    @functools.wraps(test)
+    def run():
+        asyncio.run(test())
+
+    return run
+
+
+async def mixed_fleet(made):
+    """Start two large hosts and three small ones; return them when they agree."""
+    made.configure()
+    await made.add_server(answers_at_once)
+    large = [await made.add_host(cores=LARGE) for _ in range(2)]
+    for app in large:
+        await made.ready(app)
+    small = [await made.add_host(cores=SMALL) for _ in range(3)]
+    for app in small:
+        await made.ready(app)
+    names = {app.gateway.cfg.host_id for app in large}
+    for app in large + small:
+        roster = app.gateway.roster
+        await until(lambda roster=roster: set(roster.active) == names)
+    return large, small
+
+
+async def named_by(app):
+    return set(json.loads((await resolve(app)).body)["addresses"])
+
+
+def version(app):
+    return app.gateway.steering.table.config.version
+
+
+@in_loop
+async def test_any_host_names_the_large_ones_and_serves_what_it_is_sent():
+    async with fleet() as made:
+        large, small = await mixed_fleet(made)
+        expected = {app.gateway.cfg.entry for app in large}
+        for app in large + small:
+            assert await named_by(app) == expected
+            assert (await ask(app, "/safe/x")).status == 200
+
+
+@in_loop
+async def test_changes_reach_hosts_that_stand_by_without_a_call_of_theirs():
+    # Each call of the store is paid for. A host that stands by names itself, reads the
+    # list of hosts and makes no further call, whatever operators change.
+    async with fleet() as made:
+        _, small = await mixed_fleet(made)
+        calls = [app._store.calls for app in small]
+        assert max(calls) <= 4
+        for number in (3, 5, 9):
+            made.configure(version=number)
+            for app in small:
+                await until(lambda app=app, number=number: version(app) == number)
+        assert [app._store.calls for app in small] == calls
+
+
+@in_loop
+async def test_hosts_that_stand_by_take_over():
+    # Both large hosts lose power. The small ones must serve, be named, and follow the
+    # store themselves: an operator's change comes right after.
+    async with fleet() as made:
+        large, small = await mixed_fleet(made)
+        for app in large:
+            made.tasks[made.apps.index(app)].cancel()
+        made.configure(version=7)
+        for app in small:
+            await until(lambda app=app: version(app) == 7)
+        await until(lambda: any(app.gateway.roster.is_active for app in small))
+        gone = {app.gateway.cfg.entry for app in large}
+        for app in small:
+            async with asyncio.timeout(10):
+                while gone & await named_by(app):
+                    await asyncio.sleep(0.05)
+            assert (await ask(app, "/safe/x")).status == 200
