Listeners of tests take ports that no outgoing connection is given

The port was chosen by the system from those for outgoing connections, and one of these took it before the host listened. Ruled out: the host itself (its other listeners and links came up at once). Change: free_ports yields ports below that range; the gateway's tests use it, too. Test: fails on the code before (all ports lay in the range).

--- a/lacewingcross/embedded.py
+++ b/lacewingcross/embedded.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 import socket
 from collections.abc import Iterator
 
@@ -14,17 +15,29 @@
 from .standins.backend import BackendStandin
 from .standins.platform import PlatformStandin
 
+# Ports for listeners: below those that the system gives to outgoing connections (32768
+# and more on Linux).
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+
 
 def free_ports() -> Iterator[int]:
-    """Yield ports that were free a moment ago, none of them twice."""
-    seen: set[int] = set()
-    while True:
+    """Yield ports that were free a moment ago, none of them twice.
+
+    Failure: a port that the system chose is free again until its listener opens, and an
+    outgoing connection of any process is given it meanwhile. The listener then finds
+    its address in use for as long as that connection lasts.
+    """
+    number = LAST_PORT - FIRST_PORT
+    start = secrets.randbelow(number)
+    for offset in range(number):
+        port = FIRST_PORT + (start + offset) % number
         with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-        if port not in seen:
-            seen.add(port)
-            yield port
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        yield port
 
 
 class EmbeddedDeployment:
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -3,11 +3,11 @@
 import asyncio
 import contextlib
 import random
-import socket
 import time
 from dataclasses import dataclass, field
 
 from lacewingcross.clock import SystemClock
+from lacewingcross.embedded import free_ports
 from lacewingcross.gateway.app import GatewayApp
 from lacewingcross.gateway.settings import Bounds, GatewaySettings
 from lacewingcross.http1_client import ClientConnection, HttpClient, Response
@@ -18,10 +18,11 @@
 ID = "X-Lacewingcross-Request-Id"
 
 
+PORTS = free_ports()
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    return next(PORTS)
 
 
 def free_address():
--- /dev/null
+++ b/tests/test_embedded_ports.py
@@ -0,0 +1,25 @@
+"""Ports for listeners of tests, the demo and the soak."""
+
+import itertools
+import socket
+from pathlib import Path
+
+from lacewingcross.embedded import free_ports
+
+
+def test_ports_are_none_that_an_outgoing_connection_may_be_given():
+    # A host of a test could not listen for its callers for ten seconds: between the
+    # choice of its port and its start, a connection of another host had been given it.
+    chosen = list(itertools.islice(free_ports(), 200))
+    first, last = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()
+    assert len(set(chosen)) == 200
+    assert not any(int(first) <= port <= int(last) for port in chosen)
+
+
+def test_a_port_in_use_is_passed_over():
+    ports = free_ports()
+    first = next(ports)
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", first + 1))
+        taken.listen()
+        assert next(ports) != first + 1
