--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -143,9 +143,9 @@
         """
         roster = self.gateway.roster
         entries = roster.entries
-        active = link.info.host_id not in roster.active
+        stands_by = link.info.host_id not in roster.active
         infos: list[HostInfo] = []
-        if active:
+        if stands_by:
             infos = list(roster.active.values())
         elif roster.is_active:
             infos = roster.heard_hosts(self.gateway.now())
@@ -154,9 +154,10 @@
             for info in infos
             if info.host_id in entries and entries[info.host_id].starting
         ]
-        if active and roster.is_active and roster.starting:
+        if stands_by and roster.is_active and roster.starting:
             starting.append(roster.own.host_id)
-        return msg.KnownHosts(active, [member_fields(info) for info in infos], starting)
+        fields = [member_fields(info) for info in infos]
+        return msg.KnownHosts(stands_by, fields, starting)
 
     def _tell_hosts(self) -> None:
         """Tell each host that needs it who lives, when that has changed."""
