--- a/lacewingcross/core/contacts.py
+++ b/lacewingcross/core/contacts.py
@@ -57,7 +57,10 @@
 
 
 def _relays(roster: Roster, now: float) -> list[str]:
-    """Return active hosts to be told by, near ones of two failure domains if any."""
+    """Return active hosts to be told by, near ones of two failure domains if any.
+
+    Notes when each was first wanted, so that one that never answers is passed over.
+    """
     own = roster.own
     known = (roster.entries.get(host_id) for host_id in roster.active)
     order = sorted(
