The gauge of known hosts counts known hosts again

Cause: it was taken from the number that connection limits are divided by, which is that of the active hosts since some stand by; at a fleet of five it showed two, and the alarm on it in OPERATIONS.md meant nothing. Test: fails on the code before.

--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -193,7 +193,7 @@
         metrics = gateway.metrics
         metrics.set_gauge("requests.running", self.entry.running)
         metrics.set_gauge("callers.connections", self.entry.server.connections)
-        metrics.set_gauge("hosts.known", gateway.steering.hosts)
+        metrics.set_gauge("hosts.known", 1 + len(gateway.roster.entries))
         metrics.set_gauge("hosts.live", len(gateway.roster.live(now)))
         metrics.set_gauge("hosts.active", len(gateway.roster.active))
         metrics.set_gauge("servers.known", len(placement.known.servers))
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -45,6 +45,17 @@
             assert (await ask(app, "/safe/x")).status == 200
 
 
+@in_loop
+async def test_the_metrics_tell_known_hosts_from_active_ones():
+    # An engineer compares the hosts that one knows with those that live and those that
+    # are active. A fleet of five was shown as one of two.
+    async with fleet() as made:
+        large, _ = await mixed_fleet(made)
+        gauges = large[0].gateway.metrics.gauges
+        await until(lambda: gauges.get("hosts.active") == 2)
+        await until(lambda: gauges.get("hosts.known") == 5)
+
+
 @in_loop
 async def test_changes_reach_hosts_that_stand_by_without_a_call_of_theirs():
     # Each call of the store is paid for. A host that stands by names itself, reads the
