Client accounts: who a caller is, its rank and its regions

The configuration's accounts are read (core/accounts), a request is checked before anything is placed (gateway/admission): 401 for a key of nobody, 400 for credentials that are sent twice or cannot be read, 503 while there is no configuration. The account's rank goes before its route's, homes of both bind (core/terms). Servers get the account's name and no key; what callers send under that header is dropped. A request's fingerprint is made of the account instead of its key: two keys of an account are one caller, and nothing that is stored is made of a key. A configuration in which two accounts share a key is refused whole. Without accounts all stays as it was.

--- a/lacewingcross/core/routes.py
+++ b/lacewingcross/core/routes.py
@@ -3,6 +3,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from .accounts import Accounts
+
 
 @dataclass(slots=True, frozen=True)
 class Part:
@@ -27,6 +29,8 @@
     priority: int
     affinity: bool
     home_regions: frozenset[str]
+    # Whether callers need no key.
+    public: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,6 +65,7 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    accounts: Accounts = field(default_factory=Accounts)
 
 
 @dataclass(slots=True)
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -12,6 +12,7 @@
 from .replica import Document, Kind, Replica, Update
 from .routes import CallerLimits, Configuration, Route, RouteTable
 from .splits import Splitter
+from .terms import ranks_of
 
 # What others than the hosts write; how old a host's copy of the store is goes by these.
 OPERATORS_KINDS = (Kind.CONFIG, Kind.EVACUATION, Kind.SERVER)
@@ -237,7 +238,7 @@
         return known[1].pick(key or str(self.rng.uniform(0.0, 1.0)))
 
     def least_urgent(self, service: str) -> int:
-        """Return the lowest rank among the routes that may go to a service."""
+        """Return the rank of the least urgent requests that may go to a service."""
         return self._least_urgent.get(service, 0)
 
     def set_retry_allowance(self, ratio: float, extra: float) -> None:
@@ -273,10 +274,10 @@
 
 
 def _least_urgent(config: Configuration) -> dict[str, int]:
-    """Return the highest priority number among the routes to each service."""
+    """Return the highest rank number that requests to each service may have."""
     ranks: dict[str, int] = {}
     for route in config.routes:
+        least = max(ranks_of(route, config.accounts))
         for part in route.parts:
-            known = ranks.get(part.service, route.priority)
-            ranks[part.service] = max(known, route.priority)
+            ranks[part.service] = max(ranks.get(part.service, least), least)
     return ranks
--- /dev/null
+++ b/lacewingcross/core/terms.py
@@ -0,0 +1,50 @@
+"""How a request is treated: what its route and its client account say together."""
+
+from dataclasses import dataclass
+
+from .accounts import Accounts, ClientAccount
+from .routes import Route
+
+
+@dataclass(slots=True, frozen=True)
+class Terms:
+    """How a request is treated.
+
+    `account` is None where nobody is asked for a key. `regions` are those that may
+    serve it; `homeless` tells that route and account have homes, and none in common.
+    """
+
+    account: ClientAccount | None
+    rank: int
+    regions: frozenset[str]
+    homeless: bool = False
+
+    @property
+    def account_name(self) -> str:
+        """Return the account's name, or an empty string."""
+        return self.account.name if self.account else ""
+
+
+def terms_for(route: Route, account: ClientAccount | None) -> Terms:
+    """Return how a request of an account on a route is treated.
+
+    The account's rank goes before the route's; homes of both bind.
+    """
+    if account is None:
+        return Terms(None, route.priority, route.home_regions)
+    rank = route.priority if account.rank is None else account.rank
+    if not route.home_regions or not account.home_regions:
+        regions = route.home_regions or account.home_regions
+        return Terms(account, rank, regions)
+    common = route.home_regions & account.home_regions
+    return Terms(account, rank, common, homeless=not common)
+
+
+def ranks_of(route: Route, accounts: Accounts) -> set[int]:
+    """Return the ranks that requests on a route may have."""
+    if not accounts:
+        return {route.priority}
+    ranks = {terms_for(route, account).rank for account in accounts.by_name.values()}
+    if route.public:
+        ranks.add(route.priority)
+    return ranks
--- a/lacewingcross/errors.py
+++ b/lacewingcross/errors.py
@@ -26,6 +26,10 @@
     """A resource document cannot be accepted."""
 
 
+class AccountError(UserError):
+    """Client accounts that contradict each other."""
+
+
 class FrameError(UserError):
     """A frame from another process cannot be decoded."""
 
--- /dev/null
+++ b/lacewingcross/gateway/admission.py
@@ -0,0 +1,79 @@
+"""Who may be served on this host at all: a request's route and its client account."""
+
+from dataclasses import dataclass
+
+from .. import headers as hd
+from ..core.accounts import ClientAccount
+from ..core.routes import Route, RouteTable
+from ..core.terms import Terms, terms_for
+from ..http1_exchange import RequestHead
+from .credentials import CredentialsError, read_key
+from .forwarding import OnBehalf
+from .frame import Frame
+from .reply import Final
+
+# When to come back to a host that has no configuration yet, in seconds.
+UNCONFIGURED_PAUSE_S = 0.3
+# When to come back if route and account have no region in common, in seconds: only a
+# new configuration helps.
+HOMELESS_PAUSE_S = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class Permit:
+    """A request that may be served, and on which terms."""
+
+    route: Route
+    terms: Terms
+    on_behalf: OnBehalf
+
+
+def check(table: RouteTable | None, frame: Frame, head: RequestHead) -> Permit | Final:
+    """Return on which terms a request may be served, or why it may not.
+
+    Parameters
+    ----------
+    table : RouteTable or None
+        The configuration in force; None while this host knows none.
+    frame : Frame
+        The request's frame.
+    head : RequestHead
+        The request's head.
+    """
+    if table is None:
+        # Not 401: this host knows neither keys nor whether any are needed.
+        return Final(503, "no-configuration", UNCONFIGURED_PAUSE_S)
+    route = table.match(frame.host_name, frame.path)
+    if route is None:
+        return Final(404, "no-route")
+    length = hd.find(head.headers, hd.CONTENT_LENGTH)
+    if length and int(length) > table.config.limits.max_body_bytes:
+        return Final(413, "body-too-large")
+    account = _identify(table, route, head)
+    if isinstance(account, Final):
+        return account
+    terms = terms_for(route, account)
+    if terms.homeless:
+        return Final(503, "no-common-region", HOMELESS_PAUSE_S)
+    keyed = bool(table.config.accounts)
+    return Permit(route, terms, OnBehalf(keyed, terms.account_name))
+
+
+def _identify(
+    table: RouteTable, route: Route, head: RequestHead
+) -> ClientAccount | Final | None:
+    """Return the account of a request, None where nobody is asked for a key.
+
+    On a public route a key that is known still says whose request it is; one that is
+    not known, or cannot be read, does not matter there.
+    """
+    accounts = table.config.accounts
+    if not accounts:
+        return None
+    try:
+        account = accounts.holder(read_key(head.headers))
+    except CredentialsError as exc:
+        return None if route.public else Final(400, "bad-credentials", detail=str(exc))
+    if account is None and not route.public:
+        return Final(401, "unknown-key")
+    return account
--- a/lacewingcross/gateway/attempting.py
+++ b/lacewingcross/gateway/attempting.py
@@ -7,6 +7,7 @@
 from ..core.attempts import Attempt, Ending, Stage, Verdict, decide
 from ..core.choices import Ask, Choice, Refusal
 from ..core.routes import Route
+from ..core.terms import Terms
 from ..http1_client import HttpError, ResponseHead
 from ..http1_exchange import Exchange
 from .attempt import (
@@ -19,7 +20,7 @@
 )
 from .attempt_log import AttemptLog
 from .context import Gateway
-from .forwarding import request_for_server
+from .forwarding import OnBehalf, request_for_server
 from .frame import Frame
 from .learning import AttemptResult, learn
 from .repeats import Repeats
@@ -43,6 +44,8 @@
     exchange: Exchange
     frame: Frame
     route: Route
+    terms: Terms
+    on_behalf: OnBehalf
     body: CallerBody
     deadline: float
 
@@ -93,7 +96,9 @@
         self._req = req
         self._reply = reply
         self._log = AttemptLog(req.frame, gateway)
-        self._repeats = Repeats(gateway, req.frame, req.exchange.head, req.body)
+        self._repeats = Repeats(
+            gateway, req.frame, req.exchange.head, req.body, req.on_behalf
+        )
         self._service = ""
         self._tried: set[str] = set()
         self._shed_with_room = False
@@ -162,11 +167,12 @@
 
     def _ask(self) -> Ask:
         route = self._req.route
+        terms = self._req.terms
         return Ask(
             self._service,
             self._req.frame.key if route.affinity else "",
-            route.home_regions,
-            route.priority < self._gateway.steering.least_urgent(self._service),
+            terms.regions,
+            terms.rank < self._gateway.steering.least_urgent(self._service),
             frozenset(self._tried),
             route.target_s,
             route.name,
@@ -231,12 +237,16 @@
     async def _exchange_with(self, run: AttemptRun) -> Answer:
         await run.connect()
         server_id = run.server.entry.server_id
-        head = self._req.exchange.head
-        run.send(request_for_server(head, self._req.body, server_id, self._left()))
+        req = self._req
+        run.send(
+            request_for_server(
+                req.exchange.head, req.body, server_id, self._left(), req.on_behalf
+            )
+        )
         # From here on the server may have run the request, also if we are cancelled.
         self.may_have_run = True
-        request_id = self._req.frame.request_id.encode("latin-1")
-        if not self._req.body.whole:
+        request_id = req.frame.request_id.encode("latin-1")
+        if not req.body.whole:
             await run.send_rest()
         head = await self._patiently(run, request_id)
         return await run.read_body(head)
--- /dev/null
+++ b/lacewingcross/gateway/credentials.py
@@ -0,0 +1,44 @@
+"""The key that a caller sends with its request."""
+
+import re
+
+from .. import headers as hd
+
+SCHEME = "bearer"
+# Longer keys are refused unread: operators' are some twenty characters long.
+KEY_MOST = 512
+# The characters of a bearer token (RFC 6750).
+_TOKEN = re.compile(r"[A-Za-z0-9\-._~+/]+=*")
+
+
+class CredentialsError(Exception):
+    """Credentials that cannot be read; the message holds nothing of them."""
+
+
+def read_key(headers: hd.HeaderList) -> str:
+    """Return the key in a request's credentials, or an empty string.
+
+    Parameters
+    ----------
+    headers : list of (bytes, bytes)
+        The caller's headers.
+
+    Raises
+    ------
+    CredentialsError
+        When they are sent twice or are no bearer token of ordinary length.
+    """
+    values = [value for name, value in headers if name == hd.AUTHORIZATION]
+    if not values:
+        return ""
+    if len(values) > 1:
+        raise CredentialsError("expected credentials once")
+    scheme, _, key = values[0].decode("latin-1").strip().partition(" ")
+    key = key.strip()
+    if scheme.lower() != SCHEME:
+        raise CredentialsError("expected a bearer token")
+    if len(key) > KEY_MOST or not _TOKEN.fullmatch(key):
+        raise CredentialsError(
+            f"expected a bearer token of at most {KEY_MOST} characters"
+        )
+    return key
--- a/lacewingcross/gateway/forwarding.py
+++ b/lacewingcross/gateway/forwarding.py
@@ -1,5 +1,7 @@
 """What a request and its answer look like on the other side of this host."""
 
+from dataclasses import dataclass
+
 import h11
 
 from .. import headers as hd
@@ -14,6 +16,7 @@
     (
         ph.REMAINING_MS,
         ph.EXPECTED_INCARNATION,
+        ph.ACCOUNT,
         hd.CONTENT_LENGTH,
         hd.TRANSFER_ENCODING,
     )
@@ -21,8 +24,35 @@
 OWN_ANSWER_HEADERS = frozenset((hd.CONTENT_LENGTH, hd.TRANSFER_ENCODING))
 
 
+@dataclass(slots=True, frozen=True)
+class OnBehalf:
+    """For whom a request is sent on.
+
+    Where accounts are in force, credentials are keys of accounts: secrets between
+    callers and hosts. Backend servers get the account's name, and that from hosts only.
+    Without accounts, credentials travel on like any other header.
+    """
+
+    keyed: bool = False
+    account: str = ""
+
+    def credentials(self, head: RequestHead) -> str:
+        """Return what tells one caller's requests from another's.
+
+        All keys of an account are one caller's; and no fingerprint, which is kept, is
+        made of a key.
+        """
+        if self.keyed:
+            return self.account
+        return hd.find(head.headers, hd.AUTHORIZATION)
+
+
 def request_for_server(
-    head: RequestHead, body: CallerBody, server_id: str, left_s: float
+    head: RequestHead,
+    body: CallerBody,
+    server_id: str,
+    left_s: float,
+    on_behalf: OnBehalf,
 ) -> h11.Request:
     """Return the head of a caller's request as one incarnation of a server gets it.
 
@@ -36,23 +66,30 @@
         The incarnation that may run the request; any other refuses it.
     left_s : float
         Time until the deadline, in seconds.
+    on_behalf : OnBehalf
+        Whose request it is.
     """
     fields = [
         item
         for item in hd.without_hop_by_hop(head.headers)
         if item[0] not in OWN_REQUEST_HEADERS
+        and not (on_behalf.keyed and item[0] == hd.AUTHORIZATION)
     ]
+    if on_behalf.account:
+        fields.append((ph.ACCOUNT, on_behalf.account.encode()))
     fields.append((ph.REMAINING_MS, str(max(1, int(left_s * 1000))).encode()))
     fields.append((ph.EXPECTED_INCARNATION, server_id.encode()))
     fields += _framing(head, body)
     return h11.Request(method=head.method, target=head.target, headers=fields)
 
 
-def identity_of(frame: Frame, head: RequestHead, body: CallerBody) -> RequestIdentity:
+def identity_of(
+    frame: Frame, head: RequestHead, body: CallerBody, on_behalf: OnBehalf
+) -> RequestIdentity:
     """Return what a request has in common with its repeats, besides its body."""
     declared = hd.find(head.headers, hd.CONTENT_LENGTH)
     length = body.size if body.whole else int(declared or 0)
-    credentials = hd.find(head.headers, hd.AUTHORIZATION)
+    credentials = on_behalf.credentials(head)
     return RequestIdentity(
         head.method, frame.host_name, head.target, credentials, length
     )
--- a/lacewingcross/gateway/repeats.py
+++ b/lacewingcross/gateway/repeats.py
@@ -9,7 +9,7 @@
 from ..http1_exchange import RequestHead
 from .attempt import CallerBody
 from .context import Gateway
-from .forwarding import identity_of
+from .forwarding import OnBehalf, identity_of
 from .frame import Frame
 
 
@@ -26,6 +26,8 @@
         Its head.
     body : CallerBody
         Its body; all of it that counts has been read before anything is asked here.
+    on_behalf : OnBehalf
+        Whose request it is.
     """
 
     __slots__ = (
@@ -35,16 +37,23 @@
         "_gateway",
         "_head",
         "_name",
+        "_on_behalf",
         "_on_trial",
     )
 
     def __init__(
-        self, gateway: Gateway, frame: Frame, head: RequestHead, body: CallerBody
+        self,
+        gateway: Gateway,
+        frame: Frame,
+        head: RequestHead,
+        body: CallerBody,
+        on_behalf: OnBehalf,
     ) -> None:
         self._gateway = gateway
         self._frame = frame
         self._head = head
         self._body = body
+        self._on_behalf = on_behalf
         self._check: asyncio.Task[None] | None = None
         self._name = ""
         self._on_trial = False
@@ -53,7 +62,7 @@
     def name(self) -> str:
         """Return the request's fingerprint, worked out when it is first needed."""
         if not self._name:
-            identity = identity_of(self._frame, self._head, self._body)
+            identity = identity_of(self._frame, self._head, self._body, self._on_behalf)
             self._name = fingerprint(identity, self._body.parts)
         return self._name
 
--- a/lacewingcross/gateway/reply.py
+++ b/lacewingcross/gateway/reply.py
@@ -12,6 +12,9 @@
 from .context import Gateway
 from .forwarding import answer_for_caller
 
+# What a 401 must say (RFC 9110): the kind of credentials that is expected.
+ASK_FOR_KEY = (b"www-authenticate", b"Bearer")
+
 
 @dataclass(slots=True, frozen=True)
 class Final:
@@ -20,6 +23,7 @@
     status: int
     reason: str
     retry_after_s: float = 0.0
+    detail: str = ""
 
 
 class Reply:
@@ -37,6 +41,7 @@
         "_exchange",
         "_gateway",
         "_started",
+        "account",
         "attempts",
         "request_id",
         "route",
@@ -49,6 +54,7 @@
         self._started = gateway.now()
         self.attempts = 0
         self.request_id = ""
+        self.account = ""
         self.route = ""
         self.service = ""
 
@@ -84,7 +90,7 @@
         run.let_go(whole=True)
         self.note("answered", answer.head.status)
 
-    async def finish(self, final: Final, detail: str = "") -> None:
+    async def finish(self, final: Final) -> None:
         """Send a final answer of our own."""
         if self._exchange.started:
             self._exchange.abort()
@@ -95,9 +101,13 @@
         if final.retry_after_s:
             pause = f"{final.retry_after_s:.3f}".encode()
             fields.append((hd.RETRY_AFTER, pause))
+        if final.status == 401:
+            fields.append(ASK_FOR_KEY)
         fields += self._gateway.closing_headers()
-        self.note(final.reason, final.status, final.retry_after_s, detail)
-        body = json.dumps({"error": final.reason, "detail": detail}).encode() + b"\n"
+        self.note(final.reason, final.status, final.retry_after_s, final.detail)
+        body = (
+            json.dumps({"error": final.reason, "detail": final.detail}).encode() + b"\n"
+        )
         await self._exchange.respond(final.status, fields, body)
 
     def note(
@@ -117,6 +127,7 @@
             id=self.request_id,
             route=self.route,
             service=self.service,
+            account=self.account,
             outcome=outcome,
             status=status,
             attempts=self.attempts,
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from .. import headers as hd
 from ..core.routes import Route
 from ..http1_exchange import CallerGoneError, Exchange
+from .admission import check
 from .attempt import CallerBody
 from .attempting import READ_AHEAD, AttemptSeries, RoutedRequest
 from .context import Gateway
@@ -42,19 +42,23 @@
         try:
             frame = read_frame(self._exchange)
         except FrameError as exc:
-            await self._reply.finish(Final(400, "bad-frame"), detail=str(exc))
+            await self._reply.finish(Final(400, "bad-frame", detail=str(exc)))
             return
         self._reply.request_id = frame.request_id
-        found = self._find_route(frame)
-        if isinstance(found, Final):
-            await self._reply.finish(found)
+        permit = check(self._gateway.steering.table, frame, self._exchange.head)
+        if isinstance(permit, Final):
+            await self._reply.finish(permit)
             return
+        self._reply.route = permit.route.name
+        self._reply.account = permit.terms.account_name
         req = RoutedRequest(
             self._exchange,
             frame,
-            found,
+            permit.route,
+            permit.terms,
+            permit.on_behalf,
             CallerBody(self._exchange, []),
-            self._started + _allowed_s(found, frame),
+            self._started + _allowed_s(permit.route, frame),
         )
         self._series = AttemptSeries(self._gateway, req, self._reply)
         self._task = asyncio.current_task()
@@ -78,19 +82,6 @@
         if self._series.may_stop():
             self._task.cancel()
 
-    def _find_route(self, frame: Frame) -> Route | Final:
-        table = self._gateway.steering.table
-        if table is None:
-            return Final(503, "no-configuration", 0.3)
-        route = table.match(frame.host_name, frame.path)
-        if route is None:
-            return Final(404, "no-route")
-        self._reply.route = route.name
-        length = hd.find(self._exchange.head.headers, hd.CONTENT_LENGTH)
-        if length and int(length) > table.config.limits.max_body_bytes:
-            return Final(413, "body-too-large")
-        return route
-
     async def _steer(self, req: RoutedRequest) -> None:
         answer = None
         try:
--- a/lacewingcross/platform/headers.py
+++ b/lacewingcross/platform/headers.py
@@ -8,6 +8,8 @@
 EXPECTED_INCARNATION = b"x-lacewingcross-expected-instance"
 # Present when a backend server says that it did not run the request.
 NOT_RUN = b"x-lacewingcross-not-executed"
+# Name of the client account, for backend servers only.
+ACCOUNT = b"x-lacewingcross-tenant-id"
 SIGNATURE = b"x-lacewingcross-response-signature"
 # "running,waiting,slots"
 LOAD = b"x-lacewingcross-server-load"
--- a/lacewingcross/platform/objects.py
+++ b/lacewingcross/platform/objects.py
@@ -3,7 +3,9 @@
 from math import inf
 
 from ..checks import split_address
+from ..core.accounts import Accounts, ClientAccount
 from ..core.backend_state import ServerEntry
+from ..core.quota import Quota
 from ..core.replica import Kind
 from ..core.routes import CallerLimits, Configuration, Part, Route, Service
 from ..errors import PlatformError
@@ -27,6 +29,8 @@
     ------
     PlatformError
         With code ``bad-object`` when a field is missing or of the wrong type.
+    AccountError
+        When two accounts share a key.
     """
     try:
         services = {
@@ -34,7 +38,11 @@
         }
         routes = tuple(_route(name, data) for name, data in spec["routes"].items())
         return Configuration(
-            int(spec["version"].lstrip("r")), routes, services, _limits(spec)
+            int(spec["version"].lstrip("r")),
+            routes,
+            services,
+            _limits(spec),
+            _accounts(spec),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise PlatformError("bad-object", f"configuration: {exc!r}") from exc
@@ -70,9 +78,36 @@
         priority=int(data.get("priority") or 0),
         affinity=bool(data.get("affinity")),
         home_regions=frozenset(data.get("home_regions") or ()),
+        public=bool(data.get("public")),
     )
 
 
+def _accounts(spec: dict) -> Accounts:
+    found = []
+    for name, data in (spec.get("tenants") or {}).items():
+        keys = data.get("api_keys") or []
+        # The error holds no key, whatever stands in the place of one.
+        if not isinstance(keys, list) or not all(
+            isinstance(k, str) and k for k in keys
+        ):
+            raise ValueError(f"account {name}: expected keys as texts")
+        found.append((_account(name, data), keys))
+    return Accounts(found)
+
+
+def _account(name: str, data: dict) -> ClientAccount:
+    rank = _whole(data, "priority") if data.get("priority") is not None else None
+    return ClientAccount(
+        name, rank, frozenset(data.get("home_regions") or ()), _quota(data)
+    )
+
+
+def _quota(data: dict) -> Quota | None:
+    rate = _at_least_0(data, "rate_per_s") if data.get("rate_per_s") else 0.0
+    burst = _at_least_0(data, "burst") if data.get("burst") else 0.0
+    return Quota(rate, burst) if rate else None
+
+
 def _limits(spec: dict) -> CallerLimits:
     data = spec.get("limits") or {}
     default = CallerLimits()
@@ -103,7 +138,7 @@
             failure_domain=_text(spec, "zone"),
             slots=_whole(spec, "slots", least=1),
             draining=DRAINING_OF_STATE[_text(spec, "state")],
-            cold_left_s=_seconds(spec, "cold_left_s"),
+            cold_left_s=_at_least_0(spec, "cold_left_s"),
             # Unix milliseconds of its start; servers of older versions do not tell it.
             born_ms=_whole(spec, "born") if "born" in spec else 0,
         )
@@ -129,10 +164,10 @@
     return value
 
 
-def _seconds(spec: dict, field: str) -> float:
+def _at_least_0(spec: dict, field: str) -> float:
     value = spec[field]
     if not isinstance(value, int | float) or isinstance(value, bool):
-        raise TypeError(f"{field}: expected seconds, got {value!r:.80}")
+        raise TypeError(f"{field}: expected a number, got {value!r:.80}")
     if not 0 <= value < inf:
         raise ValueError(f"{field}: expected 0 or more, got {value}")
     return float(value)
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -171,7 +171,7 @@
         }
         self.store.put("servers", server_id, {**entry, **spec})
 
-    def configure(self, version=1, **route):
+    def configure(self, version=1, *, accounts=None, **route):
         routes = {
             "safe": {
                 "host": "a.example",
@@ -210,6 +210,8 @@
             "services": {"calendar": service},
             "limits": limits,
         }
+        if accounts is not None:
+            spec["tenants"] = accounts
         self.store.put("config", "main", spec)
 
     async def add_host(
@@ -273,11 +275,13 @@
     ]
 
 
-async def ask(app, target, request_id="r1", *, method="GET", body=b"", **kwargs):
+async def ask(
+    app, target, request_id="r1", *, method="GET", body=b"", extra=(), **kwargs
+):
     """Send one request to a host on a new connection and return the response."""
     conn = await ClientConnection.open(app.gateway.cfg.entry)
     try:
-        fields = [(b"Host", b"a.example"), *headers(request_id, **kwargs)]
+        fields = [(b"Host", b"a.example"), *headers(request_id, **kwargs), *extra]
         if body:
             fields.append((b"Content-Length", str(len(body)).encode()))
         await conn.send_head(method, target, fields)
--- /dev/null
+++ b/tests/test_accounts_gateway.py
@@ -0,0 +1,170 @@
+"""Client accounts as callers and backend servers see them."""
+
+import asyncio
+
+from lacewingcross import logs
+from tests.gateway_parts import answers_at_once, ask, fleet, until
+from tests.test_gateway import header, in_loop
+
+KEY = "h4jcda9rgy35ieispuxs"
+OTHER_KEY = "r7i427eya6u6sz9frge9"
+ACCOUNTS = {
+    "school": {"api_keys": [KEY, OTHER_KEY], "home_regions": []},
+    "museum": {"api_keys": ["museum-key"], "home_regions": []},
+}
+
+
+def bearer(key):
+    return [(b"Authorization", f"Bearer {key}".encode())]
+
+
+@in_loop
+async def test_a_server_gets_the_account_s_name_and_no_key():
+    async with fleet() as made:
+        made.configure(accounts=ACCOUNTS)
+        server = await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        forged = [(b"X-Lacewingcross-Tenant-Id", b"museum")]
+        got = await ask(app, "/safe/a", extra=[*bearer(KEY), *forged])
+        assert got.status == 200
+        seen = server.requests[0].headers
+        assert seen["x-lacewingcross-tenant-id"] == "school"
+        assert "authorization" not in seen
+
+
+@in_loop
+async def test_a_key_of_nobody_is_401_and_reaches_no_server():
+    async with fleet() as made:
+        made.configure(accounts=ACCOUNTS)
+        server = await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        for extra in ([], bearer("unknown")):
+            got = await ask(app, "/safe/a", extra=extra)
+            assert got.status == 401
+            assert header(got, "www-authenticate") == "Bearer"
+        for extra in (bearer("a b"), bearer(KEY) * 2, bearer("k" * 4000)):
+            assert (await ask(app, "/safe/a", extra=extra)).status == 400
+        assert not server.requests
+
+
+@in_loop
+async def test_a_public_route_needs_no_key_and_hands_none_on():
+    async with fleet() as made:
+        made.configure(accounts=ACCOUNTS, public=True)
+        server = await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        forged = [(b"X-Lacewingcross-Tenant-Id", b"museum")]
+        for extra in (forged, bearer("unknown"), bearer(KEY) * 2, bearer(KEY)):
+            assert (await ask(app, "/safe/a", extra=extra)).status == 200
+        names = [r.headers.get("x-lacewingcross-tenant-id") for r in server.requests]
+        assert names == [None, None, None, "school"]
+        assert not any("authorization" in r.headers for r in server.requests)
+
+
+@in_loop
+async def test_without_accounts_credentials_travel_on():
+    async with fleet() as made:
+        made.configure()
+        server = await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        assert (await ask(app, "/safe/a", extra=bearer("x"))).status == 200
+        assert server.requests[0].headers["authorization"] == "Bearer x"
+
+
+@in_loop
+async def test_a_key_that_is_taken_away_is_refused_on_open_connections_too():
+    async with fleet() as made:
+        made.configure(accounts=ACCOUNTS)
+        await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        assert (await ask(app, "/safe/a", extra=bearer(OTHER_KEY))).status == 200
+        accounts = {**ACCOUNTS, "school": {"api_keys": [KEY]}}
+        made.configure(version=2, accounts=accounts)
+        await until(lambda: app.gateway.steering.table.config.version == 2)
+        assert (await ask(app, "/safe/a", extra=bearer(OTHER_KEY))).status == 401
+        assert (await ask(app, "/safe/a", extra=bearer(KEY))).status == 200
+
+
+@in_loop
+async def test_a_configuration_with_a_shared_key_leaves_the_last_one_in_force():
+    async with fleet() as made:
+        made.configure(accounts=ACCOUNTS)
+        await made.add_server(answers_at_once)
+        app = await made.ready(await made.add_host())
+        accounts = {**ACCOUNTS, "museum": {"api_keys": [KEY]}}
+        made.configure(version=2, accounts=accounts)
+        counted = app.gateway.metrics.counters
+        await until(lambda: counted["store.rejected-shared-key"])
+        assert app.gateway.steering.table.config.version == 1
+        assert (await ask(app, "/safe/a", extra=bearer(KEY))).status == 200
+
+
+@in_loop
+async def test_an_account_is_served_in_its_own_regions_only():
+    # The nearest server stands in region a; the account is bound to region b.
+    async with fleet() as made:
+        bound = {"school": {"api_keys": [KEY], "home_regions": ["b"]}}
+        made.configure(accounts=bound)
+        near = await made.add_server(answers_at_once, domain="a1")
+        far = await made.add_server(answers_at_once, domain="b1")
+        app = await made.ready(await made.add_host())
+        await until(lambda: len(app.gateway.steering.placement.known.servers) == 2)
+        for number in range(8):
+            got = await ask(app, "/safe/a", key=str(number), extra=bearer(KEY))
+            assert got.status == 200
+        assert (len(near.requests), len(far.requests)) == (0, 8)
+        made.configure(version=2, accounts=bound, home_regions=["a"])
+        await until(lambda: app.gateway.steering.table.config.version == 2)
+        got = await ask(app, "/safe/a", extra=bearer(KEY))
+        assert got.status == 503
+        assert float(header(got, "retry-after")) > 0
+
+
+@in_loop
+async def test_both_keys_of_an_account_are_one_caller_to_the_quarantine():
+    # A request that ends servers comes with one key of its account, then with another.
+    # Counted apart, it would end twice as many before it is refused.
+    async with fleet() as made:
+        made.configure(accounts=ACCOUNTS)
+
+        def ends(number):
+            async def behave(received, writer):
+                made.servers[number].cut_off()
+                return False
+
+            return behave
+
+        for number in range(2):
+            await made.add_server(ends(number))
+        app = await made.ready(await made.add_host())
+        ledger = app.gateway.crashes.ledger
+        runs = [(f"i-{number}", 0) for number in (1, 2)]
+        for ended, key in enumerate((KEY, OTHER_KEY), 1):
+            await ask(app, "/unsafe/a", method="POST", body=b"x", extra=bearer(key))
+            await until(lambda n=ended: sum(map(ledger.has_ended, runs)) == n)
+        (name,) = ledger.requests_at(runs[0])
+        assert ledger.ends_under(name) == 2
+
+
+@in_loop
+async def test_no_key_stands_in_logs_pages_or_errors():
+    lines = []
+    sink = logs.logger.add(lambda line: lines.append(str(line)), level=0)
+    try:
+        async with fleet() as made:
+            made.configure(accounts=ACCOUNTS)
+            await made.add_server(answers_at_once)
+            app = await made.ready(await made.add_host())
+            bodies = []
+            for extra in (bearer(KEY), bearer("bad key"), bearer("nobody-s-key")):
+                bodies.append((await ask(app, "/safe/a", extra=extra)).body)
+            made.configure(version=2, accounts={"a": {"api_keys": [KEY, 7]}})
+            counted = app.gateway.metrics.counters
+            await until(lambda: counted["store.rejected-bad-object"])
+            await asyncio.sleep(0.1)
+            told = "".join(lines) + repr(bodies) + app.gateway.metrics.render()
+    finally:
+        logs.logger.remove(sink)
+    assert "request-ended" in told
+    for secret in (KEY, OTHER_KEY, "bad key", "nobody-s-key"):
+        assert secret not in told
