Quotas of client accounts over all hosts, in touch or not

Nothing limited what an account runs. A quota is a promise of the whole fleet: in any five seconds at most (rate x 5 + burst) x 1.1 + 20 requests, also while it is cut or starts again.

Up to twelve holders own equal shares of every quota, by the list of hosts and not by who lives (core/quota_holders). They lend them by leases to one living keeper an account (core/quota_keeper), whose bucket pays what hosts charge. A host runs a few requests of each account unpaid (core/quota_ledger), within what the bound leaves over the quota, so that a calm caller waits for nobody; beyond that it asks the keeper and waits 0.25 s at most. 429 tells each caller a turn of its own. Credit for what never ran goes back.

--- /dev/null
+++ b/bench/quota_fleet.py
@@ -0,0 +1,309 @@
+"""A fleet in virtual time that keeps quotas: real decisions, modelled network.
+
+Serves the tests of the promise and the comparison of ways to divide quotas
+(`bench.quota_ways`).
+"""
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from lacewingcross.core.accounts import Accounts, ClientAccount
+from lacewingcross.core.membership import HostInfo
+from lacewingcross.core.quota import Quota, QuotaBound
+from lacewingcross.core.quota_ledger import WAIT_MOST_S, Outcome
+from lacewingcross.core.quotas import Quotas, Times
+from lacewingcross.core.roster import Roster
+from lacewingcross.gateway.quota_desk import TELL_EVERY_S
+
+STEP_S = 0.01
+# How often hosts show each other that they live, in seconds.
+ALIVE_EVERY_S = 0.1
+DOMAINS = ("a1", "a2", "b1", "b2", "c1", "c2")
+
+
+def host_info(number: int) -> HostInfo:
+    """Return one of any number of equal hosts."""
+    domain = DOMAINS[number % len(DOMAINS)]
+    name = f"{domain}-{number}"
+    return HostInfo(name, domain[0], domain, f"10.0.0.{number}:1", f"10.0.0.{number}:2")
+
+
+def accounts_with(quotas: dict[str, Quota]) -> Accounts:
+    """Return accounts with quotas and no keys."""
+    return Accounts((ClientAccount(n, quota=q), []) for n, q in quotas.items())
+
+
+@dataclass
+class Node:
+    """One run of a host."""
+
+    roster: Roster
+    quotas: Quotas
+    incarnation: int
+    frozen_until: float = 0.0
+    frozen_s: float = 0.0
+    # When requests that wait began to, by account.
+    waiting: dict[str, deque[float]] = field(default_factory=dict)
+
+
+class QuotaFleet:
+    """Hosts that keep quotas.
+
+    Parameters
+    ----------
+    count : int
+        Hosts at the start, which is the first start of all.
+    quotas : dict of str to Quota
+        Quotas by account.
+    way_s : tuple of float
+        Shortest and longest way between two hosts, in seconds.
+
+    Attributes
+    ----------
+    runs : dict of str to list of float
+        When requests of each account were run.
+    refused, late : dict of str to int
+        Refused requests, and admitted ones that had to wait.
+    messages, message_items : int
+        What hosts told each other.
+    """
+
+    def __init__(self, count, quotas, *, seed=0, way_s=(0.001, 0.03)):
+        self.rng = random.Random(seed)
+        self.bound = QuotaBound()
+        self.quotas = dict(quotas)
+        self.way_s = way_s
+        self.now = 100.0
+        self.nodes: dict[str, Node] = {}
+        self.infos: dict[str, HostInfo] = {}
+        self.listed: set[str] = set()
+        # Pairs of hosts that cannot reach each other; what they send waits.
+        self.cut: set[frozenset[str]] = set()
+        self._on_way: dict[tuple[str, str], deque] = {}
+        self._made = 0
+        self._started = 0
+        self.runs: dict[str, list[float]] = {name: [] for name in quotas}
+        self.refused: dict[str, int] = dict.fromkeys(quotas, 0)
+        self.waited = 0
+        self.messages = 0
+        self.message_items = 0
+        self.most: dict[str, list[tuple[float, float]]] = {
+            name: [(0.0, self.bound.most(quota))] for name, quota in quotas.items()
+        }
+        for _ in range(count):
+            self.join(first_start=True)
+        for node in self.nodes.values():
+            for other in self.infos.values():
+                node.roster.learn(other, self.now)
+
+    # Hosts
+
+    def join(self, *, first_start=False):
+        """Add a host under a new name."""
+        info = host_info(self._made)
+        self._made += 1
+        self.infos[info.host_id] = info
+        self.start(info.host_id, first_start=first_start)
+        return info.host_id
+
+    def start(self, name, *, first_start=False):
+        """Start a host, or start it again."""
+        roster = Roster(self.infos[name])
+        roster.starting = False
+        roster.was_listed = name in self.listed
+        self.listed.add(name)
+        for other in self.listed - {name}:
+            roster.learn(self.infos[other], self.now)
+        roster.listed = True
+        quotas = Quotas(roster, self.bound, self.rng, first_start=first_start)
+        self._started += 1
+        node = Node(roster, quotas, self._started)
+        self.nodes[name] = node
+        quotas.configure(accounts_with(self.quotas), self._times(node))
+
+    def kill(self, name):
+        """End a host at once; its name stays listed, and its address refuses."""
+        self.nodes.pop(name, None)
+        for other, node in self.nodes.items():
+            entry = node.roster.entries.get(name)
+            if entry is not None and frozenset((name, other)) not in self.cut:
+                entry.refused_at = self._times(node).now
+        self._drop_way(name)
+
+    def leave(self, name):
+        """End a host in order."""
+        node = self.nodes[name]
+        node.roster.leaving = True
+        node.quotas.leave(self._times(node))
+        self.listed.discard(name)
+        for other in self.nodes.values():
+            entry = other.roster.entries.get(name)
+            if entry is not None:
+                entry.leaving = True
+        self.nodes.pop(name, None)
+        self._drop_way(name)
+
+    def lose_power(self, name):
+        """End a host at once; its address does not answer."""
+        self.nodes.pop(name, None)
+        self._drop_way(name)
+
+    def _drop_way(self, name):
+        for pair, way in self._on_way.items():
+            if name in pair:
+                way.clear()
+
+    def freeze(self, name, seconds):
+        """Suspend a host; its ordinary clock stops."""
+        node = self.nodes[name]
+        node.frozen_until = self.now + seconds
+        node.frozen_s += seconds
+
+    def split(self, *groups):
+        """Cut groups of hosts from one another."""
+        for group in groups:
+            for other in groups:
+                if other is not group:
+                    self.cut.update(frozenset((a, b)) for a in group for b in other)
+
+    def configure(self, quotas):
+        """Change quotas; hosts take them over within half a second."""
+        self.quotas = dict(quotas)
+        for name, quota in quotas.items():
+            self.most[name].append((self.now, self.bound.most(quota)))
+        for node in self.nodes.values():
+            node.quotas.configure(accounts_with(quotas), self._times(node))
+
+    # Time
+
+    def _times(self, node):
+        frozen = node.frozen_s if self.now >= node.frozen_until else 0.0
+        return Times(self.now - frozen, self.now)
+
+    def play(self, seconds, load=None):
+        """Let time pass; `load` is called each step and may send requests."""
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            if load is not None:
+                load(self)
+            self._deliver()
+            for name, node in list(self.nodes.items()):
+                if self.now >= node.frozen_until:
+                    self._turn(name, node)
+
+    def _every(self, name, period_s):
+        place = sum(name.encode()) % round(period_s / STEP_S)
+        return round(self.now / STEP_S) % round(period_s / STEP_S) == place
+
+    def _turn(self, name, node):
+        at = self._times(node)
+        if self._every(name, ALIVE_EVERY_S):
+            node.roster.review(at.now)
+            for other in self.nodes:
+                if other != name:
+                    self._send(name, other, None)
+        if self._every(name, TELL_EVERY_S):
+            node.quotas.review(at)
+            for other, message in node.quotas.outgoing(at):
+                self._send(name, other, message)
+        for account, waiting in node.waiting.items():
+            self._decide(node, account, at)
+            while waiting and waiting[0] < self.now - WAIT_MOST_S:
+                waiting.popleft()
+                node.quotas.ledger.give_up(account)
+                self.refused[account] += 1
+
+    # Network
+
+    def _send(self, source, target, message):
+        if target not in self.nodes:
+            return
+        if message is not None:
+            self.messages += 1
+            self.message_items += len(getattr(message, "items", ())) or 1
+        way = self._on_way.setdefault((source, target), deque())
+        soonest = way[-1][0] if way else 0.0
+        at = max(soonest, self.now + self.rng.uniform(*self.way_s))
+        sender = self.nodes[source]
+        way.append((at, sender.roster.own, sender.incarnation, message))
+
+    def _deliver(self):
+        for (source, target), way in self._on_way.items():
+            if frozenset((source, target)) in self.cut or target not in self.nodes:
+                continue
+            node = self.nodes[target]
+            if self.now < node.frozen_until:
+                continue
+            while way and way[0][0] <= self.now:
+                _, info, incarnation, message = way.popleft()
+                self._hear(target, node, info, incarnation, message)
+
+    def _hear(self, name, node, info, incarnation, message):
+        at = self._times(node)
+        if message is None:
+            node.roster.heard(info, incarnation, at.now, leaving=False)
+            return
+        kind = type(message).__name__
+        host = (info.host_id, incarnation)
+        if kind == "QuotaLease":
+            node.quotas.heard_lease(host, message, at)
+        elif kind == "QuotaCharges":
+            answer = node.quotas.heard_charges(host, message, at)
+            if answer is not None:
+                self._send(name, info.host_id, answer)
+        else:
+            for account in node.quotas.heard_receipts(info.host_id, message, at):
+                self._decide(node, account, at)
+
+    # Requests
+
+    def request(self, name, account):
+        """Send one request to a host."""
+        node = self.nodes.get(name)
+        if node is None or self.now < node.frozen_until:
+            return
+        at = self._times(node)
+        outcome = node.quotas.ask(account, at).outcome
+        if outcome is Outcome.ADMITTED:
+            self.runs[account].append(self.now)
+        elif outcome is Outcome.REFUSED:
+            self.refused[account] += 1
+        else:
+            self.waited += 1
+            node.waiting.setdefault(account, deque()).append(self.now)
+
+    def _decide(self, node, account, at):
+        waiting = node.waiting.get(account)
+        if not waiting:
+            return
+        decided = node.quotas.ledger.decided(account, at.now)
+        for _ in range(decided.admitted):
+            waiting.popleft()
+            self.runs[account].append(self.now)
+        for _ in range(decided.refused):
+            waiting.pop()
+            self.refused[account] += 1
+
+    # The promise
+
+    def excess(self):
+        """Return by how much the worst window of any account exceeds its bound."""
+        return max(self._excess(account) for account in self.runs)
+
+    def _excess(self, account):
+        worst = float("-inf")
+        window = deque()
+        for at in self.runs[account]:
+            window.append(at)
+            while window[0] <= at - self.bound.window_s:
+                window.popleft()
+            worst = max(worst, len(window) - self._most_at(account, at))
+        return worst
+
+    def _most_at(self, account, at):
+        """Return the highest bound that was in force within the last two windows."""
+        since = at - 2 * self.bound.window_s
+        changes = self.most[account]
+        before = [most for began, most in changes if began <= since][-1:]
+        return max([*before, *(most for began, most in changes if since < began <= at)])
--- a/lacewingcross/clock.py
+++ b/lacewingcross/clock.py
@@ -12,6 +12,10 @@
         """Return seconds on a clock that never goes back."""
         ...
 
+    def boottime(self) -> float:
+        """Return seconds on a clock that never goes back, nor stops in a suspend."""
+        ...
+
     def wall(self) -> datetime:
         """Return the time of day, for people to read; no decision rests on it."""
         ...
@@ -26,6 +30,10 @@
         """Return seconds on a clock that never goes back."""
         return time.monotonic()
 
+    def boottime(self) -> float:
+        """Return seconds on a clock that never goes back, nor stops in a suspend."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> datetime:
         """Return the time of day in UTC."""
         return datetime.now(UTC)
@@ -49,6 +57,10 @@
         """Return the current reading in seconds."""
         return self._now
 
+    def boottime(self) -> float:
+        """Return the current reading in seconds."""
+        return self._now
+
     def wall(self) -> datetime:
         """Return the reading as a time of day in UTC."""
         return datetime.fromtimestamp(self._now, UTC)
--- a/lacewingcross/core/active.py
+++ b/lacewingcross/core/active.py
@@ -100,7 +100,7 @@
     Chosen at random, each of `n` hosts gets the same share; together they bear `n`
     times what the smallest of them does.
     """
-    order = list(_in_order(hosts))
+    order = list(in_order(hosts))
     least = _spread_count(order)
     # The same sum in any order: hosts list each other differently and must agree.
     half = MOST_PART * fsum(info.cores for info in hosts)
@@ -118,7 +118,7 @@
     return order
 
 
-def _in_order(hosts: list[HostInfo]) -> Iterator[HostInfo]:
+def in_order(hosts: list[HostInfo]) -> Iterator[HostInfo]:
     """Yield hosts, the largest first; those of one size by turns of their domains."""
     turns: Counter[tuple[float, str]] = Counter()
     keyed = []
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -13,6 +13,10 @@
 Number = Annotated[float, Meta(ge=-MOST, le=MOST)]
 # Requests that one message names at most; a server runs and queues some ten.
 REQUESTS_MOST = 256
+# Accounts that one message names at most; more go into further ones.
+ACCOUNTS_MOST = 256
+# A sum, a mask or milliseconds; larger ones are errors of the sender.
+Sum = Annotated[int, Meta(ge=0, le=2**53)]
 Fingerprint = Annotated[str, Meta(min_length=1, max_length=32)]
 # A host: id, region, failure domain, entry address, peer address, cores.
 HostFields = tuple[str, str, str, str, str, Number]
@@ -262,6 +266,35 @@
     requests: Annotated[list[Fingerprint], Meta(max_length=REQUESTS_MOST)]
 
 
+class QuotaLease(_Message, tag=25):
+    """The sender lends its shares of quotas, of accounts that the receiver keeps.
+
+    `key` names the sender's reckoning of the holders, `live` holds those that it sees;
+    0 lends nothing. `sent_ms` is the sender's clock, `echo_ms` the receiver's as the
+    sender heard it last: the lease runs from then.
+    """
+
+    key: str
+    live: Sum
+    sent_ms: Sum
+    echo_ms: Sum
+
+
+class QuotaCharges(_Message, tag=26):
+    """What the sender runs for accounts that the receiver keeps.
+
+    Account, and the sums charged, returned and paid since the sender started.
+    """
+
+    items: Annotated[list[tuple[str, Sum, Sum, Sum]], Meta(max_length=ACCOUNTS_MOST)]
+
+
+class QuotaReceipts(_Message, tag=27):
+    """What of it is paid: account, returned, paid, and seconds until the next is."""
+
+    items: Annotated[list[tuple[str, Sum, Sum, Number]], Meta(max_length=ACCOUNTS_MOST)]
+
+
 class RequestAnswered(_Message, tag=24):
     """A request under which servers had ended was answered by one."""
 
@@ -293,4 +326,7 @@
     | KnownHosts
     | ServerEnded
     | RequestAnswered
+    | QuotaLease
+    | QuotaCharges
+    | QuotaReceipts
 )
--- a/lacewingcross/core/roster.py
+++ b/lacewingcross/core/roster.py
@@ -35,7 +35,8 @@
     """One other entry host.
 
     `wants` says that it asked to be told what this host knows. `active_at` is when it
-    was last among the active hosts, `sought_at` when it was first wanted as a relay.
+    was last among the active hosts, `sought_at` when it was first wanted as a relay,
+    and `refused_at` when nothing listened at its address for other hosts.
     """
 
     info: HostInfo
@@ -48,11 +49,16 @@
     wants: bool = False
     active_at: float = float("-inf")
     sought_at: float = float("-inf")
+    refused_at: float = float("-inf")
 
     def live(self, now: float) -> bool:
         """Tell whether the host has spoken to this one lately."""
         return now - self.heard_at < SILENT_AFTER_S
 
+    def ended(self) -> bool:
+        """Tell whether the host's process has ended since it spoke last."""
+        return self.refused_at > self.heard_at
+
     def last_sign(self) -> float:
         """Return when the host was last heard, or first named."""
         return max(self.heard_at, self.known_since)
@@ -92,12 +98,16 @@
         "own",
         "starting",
         "turned_away",
+        "was_listed",
     )
 
     def __init__(self, own: HostInfo) -> None:
         self.own = own
         self.leaving = False
         self.listed = False
+        # Whether this host found itself in the list at its start, so that the others
+        # have counted it all along.
+        self.was_listed = False
         self.starting = True
         self.turned_away = False
         self.entries: dict[str, Entry] = {}
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -59,7 +59,7 @@
 
         gateway
         |-- readiness, directory, entry, metrics    listeners
-        |-- peers, tell, seek                       other hosts
+        |-- peers, tell, seek, quotas               other hosts
         |-- config, evacuations, servers,           the store
         |   quarantines, quarantine-store
         |-- hosts                                   who else is there
@@ -131,6 +131,7 @@
             Child("peers", self._peers.run),
             Child("tell", self._peers.tell),
             Child("seek", self._peers.seek),
+            Child("quotas", self._follow_quotas),
             Child("config", follower.following(Kind.CONFIG)),
             Child("evacuations", follower.following(Kind.EVACUATION)),
             Child("servers", follower.following(Kind.SERVER)),
@@ -147,6 +148,9 @@
             Child("ticker", self._tick),
         ]
 
+    async def _follow_quotas(self) -> None:
+        await self.gateway.quota_desk.tell(self._peers.send_to)
+
     def _connection_limit(self, service: str) -> int:
         """Return this host's part of a server's connection limit."""
         table = self.gateway.steering.table
@@ -242,6 +246,7 @@
             bounds.cold_over, bounds.cold_slack
         )
         steering.set_retry_allowance(bounds.retry_ratio, bounds.retry_extra)
+        self.gateway.quotas.set_bound(bounds.quotas, self.gateway.times())
         logs.event("settings-reloaded", host_id=cfg.host_id)
 
     # Life
@@ -258,6 +263,7 @@
         """
         gateway = self.gateway
         gateway.roster.leaving = True
+        gateway.quotas.leave(gateway.times())
         self._peers.announce()
         logs.event("host-leaving", running=self.entry.running)
         started = gateway.now()
--- a/lacewingcross/gateway/attempt_log.py
+++ b/lacewingcross/gateway/attempt_log.py
@@ -3,6 +3,7 @@
 from .. import logs
 from ..core.attempts import Attempt, Ending, Verdict
 from ..core.choices import Choice
+from ..core.terms import Terms
 from .attempt import Answer
 from .context import Gateway
 from .frame import Frame
@@ -15,14 +16,17 @@
     ----------
     frame : Frame
         The request's id and key.
+    terms : Terms
+        The request's account and rank.
     gateway : Gateway
         Knows the version of the configuration in force.
     """
 
-    __slots__ = ("_frame", "_gateway")
+    __slots__ = ("_frame", "_gateway", "_terms")
 
-    def __init__(self, frame: Frame, gateway: Gateway) -> None:
+    def __init__(self, frame: Frame, terms: Terms, gateway: Gateway) -> None:
         self._frame = frame
+        self._terms = terms
         self._gateway = gateway
 
     def placed(self, choice: Choice, number: int, left_s: float, now: float) -> None:
@@ -35,6 +39,8 @@
             service=choice.ask.service,
             config=self._gateway.steering.table.config.version,
             key=self._frame.key,
+            account=self._terms.account_name,
+            rank=self._terms.rank,
             server=server.entry.server_id,
             domain=server.entry.failure_domain,
             why=choice.why,
--- a/lacewingcross/gateway/attempting.py
+++ b/lacewingcross/gateway/attempting.py
@@ -95,7 +95,7 @@
         self._gateway = gateway
         self._req = req
         self._reply = reply
-        self._log = AttemptLog(req.frame, gateway)
+        self._log = AttemptLog(req.frame, req.terms, gateway)
         self._repeats = Repeats(
             gateway, req.frame, req.exchange.head, req.body, req.on_behalf
         )
--- a/lacewingcross/gateway/context.py
+++ b/lacewingcross/gateway/context.py
@@ -7,12 +7,15 @@
 from .. import headers as hd
 from ..clock import Clock
 from ..core.duties import rank
+from ..core.quotas import Quotas, Times
+from ..core.replica import Document, Update
 from ..core.roster import Roster
 from ..core.steering import Steering
 from ..core.watching import WatchDuty
 from ..metrics import Metrics
 from .backends import Backends
 from .crashes import CrashWatch
+from .quota_desk import QuotaDesk
 from .settings import GatewaySettings
 
 # Time after its start at which a host that cannot read the list of hosts goes by what
@@ -48,6 +51,8 @@
         "duty",
         "incarnation",
         "metrics",
+        "quota_desk",
+        "quotas",
         "rank",
         "roster",
         "steering",
@@ -73,6 +78,10 @@
         self.crashes = CrashWatch(
             steering, self.backends, self.metrics, clock.monotonic
         )
+        self.quotas = Quotas(
+            roster, cfg.bounds.quotas, steering.rng, first_start=cfg.first_start
+        )
+        self.quota_desk = QuotaDesk(self.quotas, roster, self.metrics, self.times)
         # Place among the hosts that may follow the store, see `duties.rank`.
         self.rank: int | None = None
         self._clock = clock
@@ -84,6 +93,18 @@
         """Return the monotonic time in seconds."""
         return self._clock.monotonic()
 
+    def times(self) -> Times:
+        """Return the moment on the ordinary clock and on one that counts suspends."""
+        return Times(self._clock.monotonic(), self._clock.boottime())
+
+    def take(self, update: Update, *, fresh: bool = True) -> list[Document]:
+        """Take in what the store or a host says, see `Steering.take`."""
+        changed = self.steering.take(update, self.now(), fresh=fresh)
+        table = self.steering.table
+        if table is not None:
+            self.quotas.configure(table.config.accounts, self.times())
+        return changed
+
     def review_rank(self, now: float) -> None:
         """Work out anew whether this host has to follow the store.
 
--- a/lacewingcross/gateway/following.py
+++ b/lacewingcross/gateway/following.py
@@ -110,7 +110,7 @@
         up to date.
         """
         gateway = self._gateway
-        fresh = gateway.steering.take(update, gateway.now())
+        fresh = gateway.take(update)
         self._publish(update)
         log_changes(gateway, update, fresh, source)
 
@@ -228,6 +228,7 @@
         again. When the whole system starts for the first time, nobody is named.
         """
         if not self._gateway.cfg.first_start and await self._read(stale=False):
+            self._gateway.roster.was_listed = True
             return
         await self._store.put_host(self._gateway.roster.own)
         await self._read(stale=False)
--- a/lacewingcross/gateway/hearing.py
+++ b/lacewingcross/gateway/hearing.py
@@ -97,6 +97,12 @@
             self._take_hosts(info, message, now)
         elif isinstance(message, msg.ServerEnded | msg.RequestAnswered):
             self._gateway.crashes.heard(info.host_id, message)
+        elif isinstance(message, msg.QuotaCharges):
+            receipts = self._gateway.quota_desk.receipts(info, incarnation, message)
+            if receipts is not None:
+                self._send_to(info, receipts)
+        elif isinstance(message, msg.QuotaLease | msg.QuotaReceipts):
+            self._gateway.quota_desk.heard(info, incarnation, message)
 
     def _take_alive(
         self, info: HostInfo, incarnation: int, message: msg.Alive, now: float
@@ -149,7 +155,7 @@
         gateway = self._gateway
         steering = gateway.steering
         update = update_in(message, steering.replica)
-        known = steering.take(update, now, fresh=message.fresh)
+        known = gateway.take(update, fresh=message.fresh)
         log_changes(gateway, update, known, info.host_id)
         own = steering.replica.as_of(update.kind)
         if message.fresh:
--- a/lacewingcross/gateway/link.py
+++ b/lacewingcross/gateway/link.py
@@ -83,6 +83,8 @@
         while True:
             try:
                 await self._session()
+            except ConnectionRefusedError:
+                self._note_ended()
             except (OSError, TimeoutError) as exc:
                 self._gateway.metrics.count("peers.link-broken")
                 logs.event(
@@ -100,6 +102,13 @@
                 )
             await asyncio.sleep(REDIAL_S)
 
+    def _note_ended(self) -> None:
+        """Note that the host's process has ended: nothing listens at its address."""
+        entry = self._gateway.roster.entries.get(self.info.host_id)
+        if entry is not None and entry.info == self.info:
+            entry.refused_at = self._gateway.now()
+        self._gateway.metrics.count("peers.link-refused")
+
     async def _session(self) -> None:
         host, port = split_address(self.info.peer)
         gateway = self._gateway
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+from .. import logs
+from ..core.quota_ledger import Outcome
 from ..core.routes import Route
+from ..core.terms import Terms
 from ..http1_exchange import CallerGoneError, Exchange
 from .admission import check
 from .attempt import CallerBody
@@ -27,11 +30,21 @@
         The caller's exchange.
     """
 
-    __slots__ = ("_exchange", "_gateway", "_reply", "_series", "_started", "_task")
+    __slots__ = (
+        "_counted",
+        "_exchange",
+        "_gateway",
+        "_reply",
+        "_series",
+        "_started",
+        "_task",
+    )
 
     def __init__(self, gateway: Gateway, exchange: Exchange) -> None:
         self._gateway = gateway
         self._exchange = exchange
+        # Whether the request was counted for its account.
+        self._counted = False
         self._started = gateway.now()
         self._series: AttemptSeries | None = None
         self._task: asyncio.Task[None] | None = None
@@ -64,13 +77,48 @@
         self._task = asyncio.current_task()
         self._exchange.on_gone = self._caller_gone
         try:
-            await self._steer(req)
+            if await self._within_quota(permit.terms):
+                await self._steer(req)
         except CallerGoneError:
             self._reply.note("caller-gone")
         except asyncio.CancelledError:
             if not self._series.gone:
                 raise
             self._reply.note("caller-gone")
+        finally:
+            self._settle_quota(permit.terms)
+
+    async def _within_quota(self, terms: Terms) -> bool:
+        """Have the request counted for its account; refuse it if that has no credit.
+
+        This comes before anything is placed or queued, so a refused request has not
+        run and holds nothing.
+        """
+        if terms.account is None or terms.account.quota is None:
+            return True
+        gateway = self._gateway
+        found = await gateway.quota_desk.admit(terms.account_name)
+        if found.outcome is Outcome.ADMITTED:
+            self._counted = True
+            return True
+        logs.event(
+            "quota-refused",
+            id=self._reply.request_id,
+            account=terms.account_name,
+            config=gateway.steering.table.config.version,
+            keeper=found.keeper,
+            debt=found.debt,
+            debt_most=found.debt_most,
+            age_ms=int(min(9999, 1000 * found.age_s)),
+            retry_after_ms=int(1000 * found.retry_after_s),
+        )
+        await self._reply.finish(Final(429, "over-quota", found.retry_after_s))
+        return False
+
+    def _settle_quota(self, terms: Terms) -> None:
+        """Give the credit back if no server can have run the request."""
+        if self._counted and not self._series.may_have_run:
+            self._gateway.quota_desk.cancel(terms.account_name)
 
     def _caller_gone(self) -> None:
         """Stop working for a caller that has left.
--- a/lacewingcross/gateway/settings.py
+++ b/lacewingcross/gateway/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..core.policy import Policy
+from ..core.quota import QuotaBound
 
 
 @dataclass(slots=True, frozen=True)
@@ -24,6 +25,14 @@
     cold_over: float = 1.5
     cold_slack: float = 5.0
     max_shift: float = 0.15
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.1
+    quota_slack: float = 20.0
+
+    @property
+    def quotas(self) -> QuotaBound:
+        """Return what all hosts keep to for each client account."""
+        return QuotaBound(self.quota_window_s, self.quota_excess, self.quota_slack)
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/platform/settings.py
+++ b/lacewingcross/platform/settings.py
@@ -26,6 +26,9 @@
     "cold_over": "cold_over",
     "cold_slack": "cold_slack",
     "max_shift": "max_shift",
+    "quota_window_s": "quota_window_s",
+    "quota_excess": "quota_excess",
+    "quota_slack": "quota_slack",
 }
 
 
--- /dev/null
+++ b/tests/test_quotas_gateway.py
@@ -0,0 +1,109 @@
+"""Quotas as callers of several hosts see them, over real connections."""
+
+import asyncio
+
+from lacewingcross.gateway.settings import Bounds
+from tests.gateway_parts import answers_at_once, ask, fleet, until
+from tests.test_accounts_gateway import KEY, bearer
+from tests.test_gateway import header, in_loop
+
+
+def accounts(rate, burst):
+    return {"school": {"api_keys": [KEY], "rate_per_s": rate, "burst": burst}}
+
+
+async def hosts_that_know(made, count):
+    """Start hosts and wait until each lends its share and knows the keeper."""
+    apps = [
+        await made.add_host(domain=("a1", "a2", "b1")[number % 3])
+        for number in range(count)
+    ]
+    for app in apps:
+        await made.ready(app)
+
+    def whole():
+        parts = [app.gateway.quotas.keeper.part("school") for app in apps]
+        return abs(sum(parts) - 1.0) < 1e-6
+
+    await until(whole)
+    return apps
+
+
+async def flood(apps, requests):
+    """Send requests to all hosts at once; return the responses."""
+    return await asyncio.gather(
+        *(
+            ask(apps[number % len(apps)], "/safe/a", f"r{number}", extra=bearer(KEY))
+            for number in range(requests)
+        )
+    )
+
+
+@in_loop
+async def test_three_hosts_keep_to_one_quota_and_say_when_to_come_back():
+    async with fleet() as made:
+        made.configure(accounts=accounts(10, 10))
+        server = await made.add_server(answers_at_once)
+        apps = await hosts_that_know(made, 3)
+        responses = await flood(apps, 150)
+        refused = [r for r in responses if r.status == 429]
+        assert refused
+        assert all(float(header(r, "retry-after")) > 0 for r in refused)
+        assert len(server.requests) == sum(r.status == 200 for r in responses)
+        assert len(server.requests) <= Bounds().quotas.most(
+            made.apps[0].gateway.steering.table.config.accounts.by_name["school"].quota
+        )
+
+
+@in_loop
+async def test_a_calm_caller_is_never_refused_by_any_host():
+    async with fleet() as made:
+        made.configure(accounts=accounts(50, 50))
+        await made.add_server(answers_at_once, slots=8)
+        apps = await hosts_that_know(made, 3)
+        for number in range(60):
+            app = apps[number % 3]
+            got = await ask(app, "/safe/a", f"r{number}", extra=bearer(KEY))
+            assert got.status == 200
+            await asyncio.sleep(0.02)
+
+
+@in_loop
+async def test_a_request_that_no_server_could_take_costs_no_credit():
+    # All servers are gone for a while and every caller is refused with 503. When they
+    # are back, the account has all of its credit.
+    async with fleet() as made:
+        made.configure(accounts=accounts(10, 10))
+        (app,) = await hosts_that_know_none(made)
+        before = app.gateway.quotas.keeper.credit("school", app.gateway.times().boot)
+        for number in range(100):
+            got = await ask(app, "/safe/a", f"r{number}", extra=bearer(KEY))
+            assert got.status == 503
+        after = app.gateway.quotas.keeper.credit("school", app.gateway.times().boot)
+        assert after >= before
+
+
+async def hosts_that_know_none(made):
+    """Start one host of a fleet without servers."""
+    app = await made.add_host()
+    await until(lambda: app.gateway.steering.table is not None)
+    await until(lambda: app.entry.server.listening)
+    await until(lambda: app.gateway.quotas.keeper.part("school") == 1.0)
+    return [app]
+
+
+@in_loop
+async def test_counters_name_a_bounded_number_of_accounts():
+    async with fleet() as made:
+        many = {
+            f"account-{number}": {"api_keys": [f"key-{number}"], "rate_per_s": 100}
+            for number in range(130)
+        }
+        made.configure(accounts=many)
+        (app,) = [await made.add_host()]
+        await until(lambda: app.gateway.steering.table is not None)
+        for number in range(130):
+            await app.gateway.quota_desk.admit(f"account-{number}")
+        counters = app.gateway.metrics.counters
+        named = [name for name in counters if name.startswith("accounts.")]
+        assert len({name.split(".", 2)[2] for name in named}) <= 101
