The soak plays client accounts; a command shows them; ways to divide quotas compared

The soak's callers carry keys. One account floods every host at eight times its quota, one has a key that every second version takes away. QUOTA, KEYS and ACCOUNT are checked from what servers and callers see, and tests show each of them broken and found. lacewingcross accounts reads a host's counters.

--- /dev/null
+++ b/bench/quota_ways.py
@@ -0,0 +1,261 @@
+"""Ways to divide the quotas of client accounts among hosts, on the same callers.
+
+Run ``python -m bench.quota_ways``. It prints, for each way and load, by how much the
+worst window exceeds the bound of all hosts (0 or less keeps the promise), which part of
+the requests within the quota was refused, and what hosts tell each other. The figures
+and the choice are in ``docs/design/quotas.md``.
+"""
+
+import math
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from lacewingcross.core.quota import Quota
+
+from .quota_fleet import STEP_S, QuotaFleet, host_info
+
+ACCOUNTS = {
+    "tiny": Quota(0.8, 0.8),
+    "small": Quota(3.0, 3.0),
+    "middle": Quota(20.0, 20.0),
+    "large": Quota(198.0, 198.0),
+}
+# What users' callers send of their quotas on a calm day.
+CALM = 0.625
+FLOOD = 8 * CALM
+# Part of what the bound leaves over that the simple ways use as well.
+SPARE_PART = 0.9
+# How often hosts tell their demand, and how long a larger share waits, in seconds: all
+# others have lowered theirs by then.
+TELL_S = 0.5
+RAISE_AFTER_S = 1.0
+DEMAND_WEIGHT = 0.3
+
+
+class Way(Protocol):
+    """Hosts that admit requests of accounts in virtual time."""
+
+    nodes: dict
+    cut: set
+    runs: dict
+    refused: dict
+    messages: int
+
+    def play(self, seconds: float, load=None) -> None: ...
+
+    def request(self, name: str, account: str) -> None: ...
+
+    def excess(self) -> float: ...
+
+
+@dataclass
+class _Bucket:
+    share: float
+    level: float = 0.0
+    at: float = 0.0
+    raised_at: float = float("-inf")
+    wanted: float = 0.0
+    asked: int = 0
+    demand: float = 0.0
+
+
+class EvenShares(QuotaFleet):
+    """Each host has the same part of each quota."""
+
+    def __init__(self, count, quotas, *, seed=0):
+        super().__init__(0, quotas, seed=seed)
+        self.nodes = {host_info(n).host_id: None for n in range(count)}
+        self.buckets = {
+            (name, account): _Bucket(1.0 / count, at=self.now)
+            for name in self.nodes
+            for account in quotas
+        }
+
+    def play(self, seconds, load=None):
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            if load is not None:
+                load(self)
+            self.turn()
+
+    def turn(self):
+        """Do what hosts do besides admitting."""
+
+    def restart_all(self):
+        """Start all hosts again; nobody knows what was spent."""
+        for bucket in self.buckets.values():
+            bucket.level = 0.0
+
+    def request(self, name, account):
+        bucket = self.buckets[name, account]
+        quota = self.quotas[account]
+        most = quota.burst + SPARE_PART * self.bound.spare(quota)
+        grown = bucket.level + quota.rate * bucket.share * (self.now - bucket.at)
+        bucket.level = min(grown, most * bucket.share)
+        bucket.at = self.now
+        bucket.asked += 1
+        if bucket.level >= 1.0:
+            bucket.level -= 1.0
+            self.runs[account].append(self.now)
+        else:
+            self.refused[account] += 1
+
+
+class DemandShares(EvenShares):
+    """Hosts tell each other their demand; each takes its part of it.
+
+    A smaller share counts at once, a larger one once all others have lowered theirs. A
+    host that is not heard keeps the share that it had.
+    """
+
+    def turn(self):
+        if round(self.now / STEP_S) % round(TELL_S / STEP_S):
+            return
+        hosts = list(self.nodes)
+        self.messages += len(hosts) * (len(hosts) - 1)
+        for bucket in self.buckets.values():
+            rate = bucket.asked / TELL_S
+            bucket.demand += DEMAND_WEIGHT * (rate - bucket.demand)
+            bucket.asked = 0
+        for account in self.quotas:
+            for name in hosts:
+                self._take_share(name, account, hosts)
+
+    def _take_share(self, name, account, hosts):
+        heard = [h for h in hosts if frozenset((h, name)) not in self.cut]
+        least = 0.2 / len(hosts)
+        total = sum(self.buckets[h, account].demand for h in heard) or 1.0
+        unheard = sum(self.buckets[h, account].share for h in hosts if h not in heard)
+        bucket = self.buckets[name, account]
+        free = max(0.0, 1.0 - unheard - least * len(heard))
+        wanted = least + free * bucket.demand / total
+        if wanted <= bucket.share:
+            bucket.share = wanted
+            bucket.raised_at = self.now
+        elif self.now - bucket.raised_at >= RAISE_AFTER_S:
+            bucket.share = wanted
+
+
+@dataclass
+class Load:
+    """Callers: times their quota that they send, and the hosts that they use."""
+
+    times: dict[str, float]
+    hosts: list[str] = field(default_factory=list)
+
+    def __call__(self, fleet):
+        names = self.hosts or sorted(fleet.nodes)
+        for account, quota in fleet.quotas.items():
+            mean = quota.rate * self.times.get(account, CALM) * STEP_S
+            for _ in range(_poisson(fleet.rng, mean)):
+                fleet.request(fleet.rng.choice(names), account)
+
+
+def _poisson(rng, mean):
+    least, count, product = math.exp(-mean), 0, rng.random()
+    while product > least:
+        count += 1
+        product *= rng.random()
+    return count
+
+
+def calm(fleet):
+    """All hosts get the same."""
+    fleet.play(40.0, Load({}))
+
+
+def one_host(fleet):
+    """One host gets all."""
+    fleet.play(40.0, Load({}, [sorted(fleet.nodes)[0]]))
+
+
+def flood(fleet):
+    """The largest account sends eight times its usual."""
+    fleet.play(40.0, Load({"large": FLOOD}))
+
+
+def cut(fleet):
+    """The fleet is cut in two for 30 s while all accounts flood it."""
+    names = sorted(fleet.nodes)
+    half = len(names) // 2
+    fleet.play(6.0, Load(dict.fromkeys(ACCOUNTS, FLOOD)))
+    fleet.cut = {frozenset((a, b)) for a in names[:half] for b in names[half:]}
+    fleet.play(30.0, Load(dict.fromkeys(ACCOUNTS, FLOOD)))
+    fleet.cut.clear()
+    fleet.play(6.0, Load(dict.fromkeys(ACCOUNTS, FLOOD)))
+
+
+LOADS = (calm, one_host, flood, cut)
+
+
+def refused_within(fleet, load):
+    """Return the part of the requests of calm accounts that was refused."""
+    flooding = {"flood": {"large"}, "cut": set(ACCOUNTS)}.get(load.__name__, set())
+    names = [name for name in fleet.quotas if name not in flooding]
+    refused = sum(fleet.refused[name] for name in names)
+    sent = refused + sum(len(fleet.runs[name]) for name in names)
+    return refused / sent if sent else 0.0
+
+
+def served_of_flood(fleet, load):
+    """Return how much of its rate a flooding account got."""
+    if load not in (flood, cut):
+        return float("nan")
+    quota = fleet.quotas["large"]
+    span = fleet.runs["large"][-1] - fleet.runs["large"][0]
+    return len(fleet.runs["large"]) / (quota.rate * span)
+
+
+def compare(counts=(5, 12)):
+    """Print a table of all ways and loads."""
+    print(f"{'way':14}{'hosts':>6} {'load':9}{'above':>8}{'refused':>9}{'flood':>7}")
+    for count in counts:
+        for way in (EvenShares, DemandShares, QuotaFleet):
+            for load in LOADS:
+                fleet = way(count, ACCOUNTS, seed=7)
+                fleet.play(8.0)
+                load(fleet)
+                print(
+                    f"{way.__name__:14}{count:>6} {load.__name__:9}"
+                    f"{fleet.excess():>8.1f}{refused_within(fleet, load):>9.4f}"
+                    f"{served_of_flood(fleet, load):>7.2f}"
+                )
+
+
+def costs(counts=(9, 12, 18), accounts=(86, 1000), rate=1000.0):
+    """Print what keepers cost: messages a host and second, time a decision."""
+    print(f"{'hosts':>5}{'accounts':>9}{'messages/s':>11}{'items/s':>9}{'us/ask':>8}")
+    for count in counts:
+        for number in accounts:
+            weights = [1.0 / (n + 1) for n in range(number)]
+            each = rate / CALM / sum(weights)
+            quotas = {f"a{n}": Quota(each * w, each * w) for n, w in enumerate(weights)}
+            fleet = QuotaFleet(count, quotas, seed=3)
+            fleet.play(8.0)
+            before = (fleet.messages, fleet.message_items)
+            fleet.play(5.0, Load({}))
+            told, items = fleet.messages - before[0], fleet.message_items - before[1]
+            print(
+                f"{count:>5}{number:>9}{told / count / 5:>11.1f}"
+                f"{items / count / 5:>9.1f}{ask_us(fleet):>8.2f}"
+            )
+
+
+def ask_us(fleet, asks=20000):
+    """Return the processor time of a decision, in microseconds."""
+    node = next(iter(fleet.nodes.values()))
+    names = deque(sorted(fleet.quotas))
+    at = fleet._times(node)
+    began = time.process_time()
+    for _ in range(asks):
+        names.rotate(1)
+        node.quotas.ask(names[0], at)
+        node.quotas.ledger.cancel(names[0])
+    return (time.process_time() - began) / asks * 1e6
+
+
+if __name__ == "__main__":
+    compare()
+    costs()
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -15,19 +15,25 @@
 )
 from lacewingcross.platform import headers as ph
 
-from .ledger import BAD, BAD_TARGET, Reply, Sent
+from .accounts import FLOODED, KEYS, PASSING, USUAL
+from .ledger import BAD, BAD_TARGET, DEADLINE_S, Reply, Sent
 from .world import HOST_NAME, World
 
-DEADLINE_S = 2.0
 # A caller hears of the end of its time a little later; beyond that it was left waiting.
 HELD_AFTER_S = 1.0
-KEYS = 60
+OBJECTS = 60
 UPLOAD_BYTES = 60_000
 # Share of callers that keep one connection until the host closes it.
 KEEPS = 0.6
 LOOKUP_EVERY_S = 1.0
 PROBE_EVERY_S = 0.12
 PAUSE_S = (0.02, 0.25)
+# Requests of the account that floods, and pauses of the one whose key comes and goes,
+# in seconds: eight times the quota, over all hosts.
+FLOOD_EVERY_S = 0.0125
+PASSING_EVERY_S = 0.1
+# Connections that each flooding caller keeps.
+FLOOD_CALLERS = 8
 # Pause before the request that ends servers comes again, in seconds.
 BAD_PAUSE_S = (0.1, 0.4)
 
@@ -42,6 +48,7 @@
     target: str
     body: bytes = b""
     version: int = 0
+    account: str = USUAL
 
 
 class Callers:
@@ -66,6 +73,10 @@
         running = [loop.create_task(self._call(number)) for number in range(callers)]
         hosts = range(len(self._world.hosts))
         running.append(loop.create_task(self._repeat_bad()))
+        pause_s = FLOOD_EVERY_S * FLOOD_CALLERS
+        for number in range(FLOOD_CALLERS):
+            running.append(loop.create_task(self._press(FLOODED, number, pause_s)))
+        running.append(loop.create_task(self._press(PASSING, 0, PASSING_EVERY_S)))
         return running + [loop.create_task(self._probe(number)) for number in hosts]
 
     async def _call(self, number: int) -> None:
@@ -119,6 +130,25 @@
             if conn is not None:
                 _close(conn)
 
+    async def _press(self, account: str, number: int, pause_s: float) -> None:
+        """Read for an account all the time, at one host after the other.
+
+        Draws from a source of its own, so that the other callers do what they did.
+        """
+        rng = random.Random(f"{account}-{number}")
+        conn: ClientConnection | None = None
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 1.5) * pause_s)
+            if conn is None:
+                host = rng.randrange(len(self._world.hosts))
+                conn = await self._open(host)
+                continue
+            target = f"/calendar/{account}-{rng.randrange(50)}"
+            question = Question("read", "calendar", "GET", target, account=account)
+            conn = await self._ask(conn, host, question)
+            if conn is not None and rng.random() < 0.2:
+                conn = _close(conn)
+
     def _draw(self) -> Question:
         kind = self._rng.choices(("read", "booking", "upload"), (6, 2, 1))[0]
         tail = f"{self._rng.randrange(1000)}?q={self._rng.randrange(9)}"
@@ -157,7 +187,7 @@
         sent = self._note(host, question)
         try:
             async with asyncio.timeout(DEADLINE_S + HELD_AFTER_S):
-                await _send(conn, question, sent, str(self._rng.randrange(KEYS)))
+                await _send(conn, question, sent, str(self._rng.randrange(OBJECTS)))
                 head = await conn.read_head()
                 parts = [part async for part in conn.read_body()]
         except TimeoutError:
@@ -190,6 +220,7 @@
             self._world.hosts[host].incarnation,
             self._world.now(),
             question.version,
+            question.account,
         )
         self._world.ledger.sent[sent.request_id] = sent
         return sent
@@ -216,6 +247,7 @@
         (ph.REQUEST_ID, sent.request_id.encode()),
         (ph.AFFINITY_KEY, key.encode()),
         (ph.REMAINING_MS, str(deadline_ms).encode()),
+        (hd.AUTHORIZATION, f"Bearer {KEYS[question.account]}".encode()),
     ]
     if question.body:
         fields.append((hd.CONTENT_LENGTH, str(len(question.body)).encode()))
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -5,6 +5,9 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from .accounts import USUAL, broken_accounts, broken_keys, broken_quota
+from .findings import Broken
+
 # The promises of the deployment that the soak settings give, in seconds.
 DRAIN_S = 2.5
 EVACUATION_S = 5.0
@@ -19,6 +22,8 @@
 # Part of the reads of the last calm seconds that must succeed. The users ask for a
 # quarter of what was served before.
 RECOVERED = 0.8
+# Callers' deadline, in seconds.
+DEADLINE_S = 2.0
 # Answers that promise that the request has not run and never will.
 NOT_RUN = (408, 421, 429, 503)
 # A read that ends each server which begins to run it, and its kind.
@@ -52,6 +57,7 @@
     incarnation: int
     at: float
     version: int = 0
+    account: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,22 +74,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Run:
-    """One request that a server began to work on."""
+    """One request that a server began to work on.
+
+    `account` is what the server was told, `keyed` whether it got credentials.
+    """
 
     request_id: str
     server_id: str
     target: str
     body: bytes
     at: float
-
-
-@dataclass(slots=True, frozen=True)
-class Broken:
-    """A promise that did not hold."""
-
-    rule: str
-    at: float
-    what: str
+    account: str = ""
+    keyed: bool = False
 
 
 @dataclass(slots=True)
@@ -138,6 +140,9 @@
         found += self._retries()
         found += self._recovery()
         found += self._late_bad_runs()
+        found += broken_accounts(self)
+        found += broken_keys(self)
+        found += broken_quota(self)
         found += [
             Broken("ENDED", at, f"host {host} ended by itself with {code}")
             for at, host, code in self.ended_alone
@@ -223,6 +228,26 @@
     def _undisturbed(self, host: int, begin: float, end: float) -> bool:
         return not self.hosts[host].near(begin, end) and not self.core.near(begin, end)
 
+    def versions_at(self, sent: Sent) -> set[int]:
+        """Return the versions that a host may have gone by when a request came.
+
+        These are all that were accepted since its bound, and the one before them; any
+        at a host that was disturbed.
+        """
+        if not self._undisturbed(sent.host, sent.at - CONFIG_APPLY_S, sent.at):
+            return set(self.accepted)
+        before = [
+            version
+            for version, at in self.accepted.items()
+            if at <= sent.at - CONFIG_APPLY_S
+        ]
+        since = {
+            version
+            for version, at in self.accepted.items()
+            if sent.at - CONFIG_APPLY_S < at <= sent.at + DEADLINE_S
+        }
+        return since | {max(before, default=1)}
+
     def _own_lag(self, begin: float, end: float) -> float:
         low = bisect_left(self.own_lags, (begin, 0.0))
         high = bisect_right(self.own_lags, (end + 1.0, 0.0))
@@ -314,6 +339,7 @@
             for sent in self.sent.values()
             if sent.kind == "read"
             and not sent.version
+            and sent.account in ("", USUAL)
             and self.calm_from <= sent.at < self.calm_to
         ]
         served = sum(status == 200 for status in calm)
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -124,7 +124,16 @@
     async def _run(self, exchange: Exchange, request_id: str, body: bytes) -> None:
         if exchange.gone:
             raise CallerGoneError
-        run = Run(request_id, self.server_id, exchange.head.target, body, self.now())
+        head = exchange.head
+        run = Run(
+            request_id,
+            self.server_id,
+            head.target,
+            body,
+            self.now(),
+            hd.find(head.headers, ph.ACCOUNT),
+            bool(hd.find(head.headers, hd.AUTHORIZATION)),
+        )
         self.ledger.runs[request_id].append(run)
         if run.target == BAD_TARGET:
             self.ledger.ends.append((self.now(), request_id))
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,6 +16,7 @@
 from lacewingcross.gateway.settings import GatewaySettings
 from lacewingcross.standins.object_store import ObjectStoreStandin
 
+from .accounts import stored_accounts
 from .ledger import Ledger
 from .proxy import FaultyProxy
 from .servers import Mood, SoakServer
@@ -252,6 +253,7 @@
                 "header_timeout_s": 3,
                 "idle_timeout_s": 15,
             },
+            "tenants": stored_accounts(self.version),
         }
         self.store.put("config", "main", spec)
         self.ledger.accepted[self.version] = self.now()
--- a/lacewingcross/cli/main.py
+++ b/lacewingcross/cli/main.py
@@ -7,6 +7,7 @@
 from .. import __version__
 from ..errors import UserError
 from . import daemons, resources
+from .accounts import accounts
 from .blocks import pack_blocks
 from .demo import demo
 from .examples import example
@@ -37,6 +38,7 @@
     "example": example,
     "demo": demo,
     "messages": messages,
+    "accounts": accounts,
 }
 
 
--- a/lacewingcross/cli/messages.py
+++ b/lacewingcross/cli/messages.py
@@ -27,7 +27,7 @@
     output : str
         ``table`` or ``json``.
     """
-    rows = rows_of(asyncio.run(_page(url)))
+    rows = rows_of(asyncio.run(metrics_page(url)))
     if output == "json":
         print_json([dict(zip(HEAD, row, strict=True)) for row in rows])
     else:
@@ -60,7 +60,14 @@
     return [*rows, ("all", *sums)]
 
 
-async def _page(url: str) -> str:
+async def metrics_page(url: str) -> str:
+    """Return a host's metrics page.
+
+    Raises
+    ------
+    UserError
+        With code ``bad-address`` or ``unavailable``.
+    """
     parts = urlsplit(url)
     if parts.scheme != "http" or not is_address(parts.netloc):
         raise UserError("bad-address", f"expected http://IP:PORT/PATH, {url}")
--- a/lacewingcross/core/quota_ledger.py
+++ b/lacewingcross/core/quota_ledger.py
@@ -302,6 +302,11 @@
         tab = self._tabs.get(account)
         return tab.keeper if tab else None
 
+    def debt(self, account: str) -> int:
+        """Return how many requests of an account are run and not paid for."""
+        tab = self._tabs.get(account)
+        return max(0, tab.debt) if tab else 0
+
     def _due(self, tab: _Tab, now: float) -> bool:
         if now - tab.told_at >= TELL_AGAIN_S:
             return True
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -209,6 +209,7 @@
         metrics.set_gauge("servers.known", len(placement.known.servers))
         quarantine = gateway.crashes.ledger.quarantine
         metrics.set_gauge("requests.quarantined", len(quarantine))
+        gateway.quota_desk.measure()
         metrics.set_gauge("store.calls", self._store.calls)
         metrics.set_gauge("store.age_s", gateway.steering.store_age(now))
 
--- a/lacewingcross/gateway/quota_desk.py
+++ b/lacewingcross/gateway/quota_desk.py
@@ -101,6 +101,14 @@
         self._counted.add(account)
         self._metrics.count(f"accounts.{outcome.value}.{account}")
 
+    def measure(self) -> None:
+        """Set the gauges of the accounts that have counters of their own."""
+        ledger = self._quotas.ledger
+        for account in self._counted:
+            self._metrics.set_gauge(f"accounts.unpaid.{account}", ledger.debt(account))
+            part = self._quotas.keeper.part(account)
+            self._metrics.set_gauge(f"accounts.kept.{account}", part)
+
     # Other hosts
 
     def heard(self, info: HostInfo, incarnation: int, message: msg.Message) -> None:
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -2,10 +2,12 @@
 
 import pytest
 
+from bench.soak.accounts import BOUND, QUOTA
 from bench.soak.ledger import (
     BAD,
     BAD_TARGET,
     CONFIG_APPLY_S,
+    DEADLINE_S,
     DRAIN_S,
     EVACUATION_S,
     LATE_MOST,
@@ -223,3 +225,67 @@
     # A host that something befell is not held to the bound.
     made.hosts[0].add(0.0, 100.0, "host-pause")
     assert [item for item in made.broken() if item.rule == "ENDS"] == []
+
+
+# Client accounts
+
+
+def of_account(made, request_id, account, *, at=10.0, ran_as=None, keyed=False):
+    """Note a request of an account, and its run unless `ran_as` is empty."""
+    made.sent[request_id] = Sent(
+        request_id, "booking", "booking", "/b", b"", 0, 1, at, account=account
+    )
+    ran_as = account if ran_as is None else ran_as
+    if ran_as:
+        made.runs[request_id].append(
+            Run(request_id, SERVER, "/b", b"", at + 0.1, ran_as, keyed)
+        )
+
+
+def test_a_run_for_another_account_or_with_the_key_is_found():
+    made = ledger()
+    of_account(made, "q1", "usual")
+    assert rules(made) == []
+    of_account(made, "q2", "usual", ran_as="flooded")
+    of_account(made, "q3", "usual", keyed=True)
+    assert rules(made) == ["ACCOUNT", "ACCOUNT"]
+
+
+def flooded(made, requests, *, over_s):
+    for number in range(requests):
+        of_account(made, f"f{number}", "flooded", at=10.0 + over_s * number / requests)
+
+
+def test_more_than_the_quota_within_a_window_is_found():
+    most = int(BOUND.most(QUOTA))
+    made = ledger()
+    flooded(made, most, over_s=4.0)
+    assert rules(made) == []
+    made = ledger()
+    flooded(made, most + 2, over_s=4.0)
+    assert rules(made) == ["QUOTA"]
+    made = ledger()
+    flooded(made, 2 * most, over_s=20.0)
+    assert rules(made) == []
+
+
+def keyed_reply(made, status, *, at):
+    of_account(made, "q1", "passing", at=at, ran_as="passing" if status == 200 else "")
+    reply(made, status=status, at=at + 0.2, signed=None if status == 200 else "")
+
+
+@pytest.mark.parametrize(("status", "late"), [(200, True), (401, False)])
+def test_a_key_is_judged_by_the_versions_that_may_be_in_force(status, late):
+    # Version 2 takes the key away that version 1 has.
+    made = ledger()
+    made.accepted = {1: 0.0, 2: 10.0}
+    keyed_reply(made, status, at=10.0 + CONFIG_APPLY_S / 2)
+    assert rules(made) == []
+    made = ledger()
+    made.accepted = {1: 0.0, 2: 10.0}
+    keyed_reply(made, status, at=10.5 + CONFIG_APPLY_S)
+    assert rules(made) == (["KEYS"] if late else [])
+    made = ledger()
+    made.accepted = {1: 0.0, 2: 10.0}
+    keyed_reply(made, status, at=9.0 - DEADLINE_S)
+    assert rules(made) == ([] if late else ["KEYS"])
