What hosts tell each other of hosts no longer grows with the square of the fleet

In an even fleet all hosts are active, and each told each of all others whom it hears whenever that changed; each such word had the receiver review and tell again at once.

An active host tells all of it to twelve others, chosen on a ring, and the rest only of hosts that stand by; lists are encoded once a review, reviews are 10 ms apart at least.

Servers whose entry changes without a change of service or state no longer make all orders of servers anew, and those of other services stay.

--- a/lacewingcross/core/contacts.py
+++ b/lacewingcross/core/contacts.py
@@ -7,7 +7,9 @@
 """
 
 from collections.abc import Iterator
+from functools import lru_cache
 
+from .membership import HostInfo
 from .rendezvous import hash64
 from .roster import FORGET_AFTER_S, Entry, Roster
 
@@ -28,6 +30,9 @@
 # often as they are more, so that each host tells and hears some 250 messages a second
 # at most: about 3 in 100 of a core.
 COUNTS_HOSTS = 8
+# Active hosts that tell another one of all whom they hear. It knows so from many places
+# whether somebody hears a host that it does not hear itself.
+TELLERS = 12
 
 
 def counts_every_s(roster: Roster) -> float:
@@ -35,6 +40,50 @@
     return COUNTS_EVERY_S * max(1.0, len(roster.active) / COUNTS_HOSTS)
 
 
+def hearers(roster: Roster) -> frozenset[str]:
+    """Return the active hosts that this one tells of all whom it hears.
+
+    Answers this load: an even fleet of 300 hosts, all active, that starts. If each told
+    each of all others whenever one more was heard, what a host sends would grow with
+    the square of the fleet.
+    """
+    ring = sorted(roster.active, key=_place_on_ring)
+    own = roster.own.host_id
+    if len(ring) <= TELLERS + 1 or own not in roster.active:
+        return frozenset(ring)
+    # Negative places wrap around: the ring has no beginning.
+    place = ring.index(own)
+    return frozenset(ring[place - count] for count in range(1, TELLERS + 1))
+
+
+@lru_cache(maxsize=8192)
+def _place_on_ring(host_id: str) -> int:
+    return hash64("ring", host_id)
+
+
+def hosts_to_tell(
+    roster: Roster, receiver: str, now: float, told_all: frozenset[str]
+) -> list[HostInfo]:
+    """Return the hosts that another one is told of.
+
+    A host that stands by is told who is active, also by another one that stands by.
+    Failure: a host takes itself or another one for active at its start, when it has
+    read a list in which the larger hosts are missing yet. Whoever it speaks to tells
+    it better.
+
+    Active hosts tell each other whom they hear: `told_all` of all, the others only of
+    those that speak to nobody else, the hosts that stand by.
+    """
+    if receiver not in roster.active:
+        return list(roster.active.values())
+    if not roster.is_active:
+        return []
+    heard = roster.heard_hosts(now)
+    if receiver in told_all:
+        return heard
+    return [info for info in heard if info.host_id not in roster.active]
+
+
 def wanted(roster: Roster, now: float) -> set[str]:
     """Return the hosts that a host wants to be told by."""
     if not roster.is_active and now - roster.last_active_at > LINGER_S:
--- a/lacewingcross/core/homes.py
+++ b/lacewingcross/core/homes.py
@@ -9,12 +9,10 @@
 0.58 on the load of `tests/test_placement_load.py` (four seeds; 0.94 in time with both).
 """
 
-from collections.abc import Iterable
-
 from .backend_state import Server
 from .rendezvous import ranked
 
-# Orders kept at most; an order costs one hash for each server.
+# Orders kept at most for each service; an order costs one hash for each server.
 MAX_ORDERS = 20_000
 
 
@@ -32,16 +30,20 @@
     def __init__(self, region: str) -> None:
         self._region = region
         self._by_service: dict[str, list[Server]] = {}
-        self._orders: dict[tuple[str, str], list[Server]] = {}
+        self._orders: dict[str, dict[str, list[Server]]] = {}
+
+    def add(self, server: Server) -> None:
+        """Add a server to those of its service."""
+        service = server.entry.service
+        self._by_service.setdefault(service, []).append(server)
+        self._orders.pop(service, None)
 
-    def regroup(self, servers: Iterable[Server]) -> None:
-        """Take over which servers there are; those that drain get nothing new."""
-        self._orders.clear()
-        self._by_service = {}
-        for server in servers:
-            if not server.entry.draining:
-                group = self._by_service.setdefault(server.entry.service, [])
-                group.append(server)
+    def remove(self, server: Server) -> None:
+        """Take a server away: it is gone, or drains and gets nothing new."""
+        for service, group in self._by_service.items():
+            if server in group:
+                group.remove(server)
+                self._orders.pop(service, None)
 
     def of_service(self, service: str) -> list[Server]:
         """Return the servers of a service."""
@@ -52,15 +54,15 @@
 
         The local home is the first of this host's region besides the home itself.
         """
-        cached = (service, key)
-        order = self._orders.get(cached)
+        orders = self._orders.setdefault(service, {})
+        order = orders.get(key)
         if order is None:
             by_id = {srv.entry.server_id: srv for srv in self.of_service(service)}
             order = [by_id[server_id] for server_id in ranked(key, by_id)]
             self._move_up_local(order)
-            if len(self._orders) >= MAX_ORDERS:
-                self._orders.clear()
-            self._orders[cached] = order
+            if len(orders) >= MAX_ORDERS:
+                orders.clear()
+            orders[key] = order
         return order
 
     def _move_up_local(self, order: list[Server]) -> None:
--- a/lacewingcross/core/known_servers.py
+++ b/lacewingcross/core/known_servers.py
@@ -36,19 +36,26 @@
         server = self.servers.get(entry.server_id)
         if server is not None and entry.born_ms < server.entry.born_ms:
             return
+        known = server
         if server is None or entry.born_ms > server.entry.born_ms:
             region = self._region_of.get(entry.failure_domain, "")
             server = Server(entry, region, used_at=now)
             self.servers[entry.server_id] = server
+        if known is not server or _moves(server.entry, entry):
+            if known is not None:
+                self._homes.remove(known)
+            server.entry = entry
+            if not entry.draining:
+                self._homes.add(server)
         server.entry = entry
         if entry.cold_left_s > 0:
             server.cold_until = max(server.cold_until, now + entry.cold_left_s)
-        self._homes.regroup(self.servers.values())
 
     def drop(self, server_id: str) -> None:
         """Forget a server that is gone."""
-        if self.servers.pop(server_id, None) is not None:
-            self._homes.regroup(self.servers.values())
+        server = self.servers.pop(server_id, None)
+        if server is not None:
+            self._homes.remove(server)
 
     def in_flight(self) -> dict[str, int]:
         """Return how many requests this host has in flight, by server id."""
@@ -95,3 +102,8 @@
         """Take over a server's own report of what runs and waits there."""
         server.reported = load
         server.reported_at = now
+
+
+def _moves(before: ServerEntry, after: ServerEntry) -> bool:
+    """Tell whether another entry of a server changes for what it is used."""
+    return (before.service, before.draining) != (after.service, after.draining)
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -8,7 +8,7 @@
 from .. import logs
 from ..checks import split_address
 from ..core import messages as msg
-from ..core.contacts import counts_every_s, wanted
+from ..core.contacts import counts_every_s, hearers, hosts_to_tell, wanted
 from ..core.crash_news import Piece, should_pass_on
 from ..core.crashes import CrashLedger
 from ..core.membership import HostInfo, member_fields
@@ -22,6 +22,10 @@
 
 # How often the links are reviewed when nothing was heard that changes them, in seconds.
 REVIEW_S = 0.1
+# Time between two reviews while hosts come and go, in seconds: at once for people. With
+# more links than `REVIEW_LINKS` a review takes longer, and they are as much rarer.
+REVIEW_APART_S = 0.01
+REVIEW_LINKS = 20
 # A link that nothing needs any more is kept for so long, in seconds: reasons come and
 # go while hosts start.
 KEEP_S = 2.0
@@ -66,7 +70,8 @@
         if link is None:
             return [hello, self._alive(wants=True)]
         wants = link.info.host_id in wanted(gateway.roster, gateway.now())
-        link.told_hosts = self._hosts_for(link)
+        told_all = hearers(gateway.roster)
+        link.told_hosts = self._hosts_for(link.info.host_id, told_all)
         return [hello, self._alive(wants=wants), link.told_hosts]
 
     def publish(self, update: Update) -> None:
@@ -137,21 +142,12 @@
             handled or [],
         )
 
-    def _hosts_for(self, link: Link) -> msg.KnownHosts:
-        """Return the hosts to tell another one of.
-
-        Failure: a host takes itself or another one for active at its start, when it has
-        read a list in which the larger hosts are missing yet. Whoever it speaks to
-        tells it better, also when that is a host that stands by.
-        """
+    def _hosts_for(self, receiver: str, told_all: frozenset[str]) -> msg.KnownHosts:
+        """Return the message that tells another host who lives."""
         roster = self.gateway.roster
         entries = roster.entries
-        stands_by = link.info.host_id not in roster.active
-        infos: list[HostInfo] = []
-        if stands_by:
-            infos = list(roster.active.values())
-        elif roster.is_active:
-            infos = roster.heard_hosts(self.gateway.now())
+        stands_by = receiver not in roster.active
+        infos = hosts_to_tell(roster, receiver, self.gateway.now(), told_all)
         starting = [
             info.host_id
             for info in infos
@@ -164,15 +160,20 @@
 
     def _tell_hosts(self) -> None:
         """Tell each host that needs it who lives, when that has changed."""
-        told: dict[bool, msg.KnownHosts] = {}
+        active = self.gateway.roster.active
+        told_all = hearers(self.gateway.roster)
+        told: dict[tuple[bool, bool], msg.KnownHosts] = {}
+        frames: dict[tuple[bool, bool], bytes] = {}
         for host_id, link in self._links.items():
-            active = host_id in self.gateway.roster.active
-            if active not in told:
-                told[active] = self._hosts_for(link)
-            hosts = told[active]
-            if hosts != link.told_hosts:
-                link.told_hosts = hosts
-                link.send(hosts)
+            form = (host_id in active, host_id in told_all)
+            if form not in told:
+                told[form] = self._hosts_for(host_id, told_all)
+            if told[form] == link.told_hosts:
+                continue
+            link.told_hosts = told[form]
+            if form not in frames:
+                frames[form] = encode(told[form])
+            link.send_frame(frames[form], msg.KnownHosts)
 
     async def tell(self) -> None:
         """Tell counts and signs of life until cancelled."""
@@ -226,6 +227,7 @@
         try:
             while True:
                 self._review()
+                await asyncio.sleep(self._review_apart_s())
                 await self.gateway.wait_for_hosts(REVIEW_S)
         finally:
             server.close()
@@ -234,6 +236,14 @@
                 link.task.cancel()
             self._links.clear()
 
+    def _review_apart_s(self) -> float:
+        """Return how far apart reviews are at least, in seconds.
+
+        Failure: a fleet of 100 hosts starts. Each word of one of them had all others
+        reviewed at once, and told again, hundreds of times a second.
+        """
+        return REVIEW_APART_S * max(1.0, len(self._links) / REVIEW_LINKS)
+
     def _review(self) -> None:
         gateway = self.gateway
         now = gateway.now()
--- a/tests/test_contacts.py
+++ b/tests/test_contacts.py
@@ -1,11 +1,19 @@
 """Who speaks to whom: a fleet of rosters that tell each other whom they hear."""
 
 import random
+from collections import Counter
 
 import pytest
 
 from lacewingcross.core import contacts, duties, roster
-from lacewingcross.core.contacts import LINGER_S, RELAYS, wanted
+from lacewingcross.core.contacts import (
+    LINGER_S,
+    RELAYS,
+    TELLERS,
+    hearers,
+    hosts_to_tell,
+    wanted,
+)
 from lacewingcross.core.duties import part_of_fleet, part_of_region, rank
 from lacewingcross.core.membership import HostInfo
 from lacewingcross.core.named_hosts import addresses_for
@@ -38,6 +46,48 @@
     assert spoken_to(4) == spoken_to(24) == RELAYS
 
 
+def even(count):
+    return [
+        HostInfo(f"h-{n}", "abc"[n % 3], f"{'abc'[n % 3]}{n % 2}", f"10.0.0.{n}:1", "")
+        for n in range(count)
+    ]
+
+
+def test_what_a_host_of_an_even_fleet_tells_does_not_grow_with_its_square():
+    # All hosts of an even fleet are active. With each telling each of all others whom
+    # it hears, 100 hosts that start sent 40 times what 15 did.
+    def told(count):
+        played = Played(even(count), needed=1e9)
+        played.play(1.0)
+        made = next(iter(played.rosters.values()))
+        told_all = hearers(made)
+        others = made.active.keys() - {made.own.host_id}
+        now = played.now
+        return sum(len(hosts_to_tell(made, o, now, told_all)) for o in others)
+
+    assert told(100) <= TELLERS * 100
+    assert told(40) <= TELLERS * 40
+
+
+def test_each_active_host_hears_from_enough_tellers():
+    played = Played(even(40), needed=1e9)
+    played.play(1.0)
+    tellers = Counter(h for r in played.living() for h in hearers(r))
+    assert set(tellers.values()) == {TELLERS}
+    assert len(tellers) == 40
+
+
+def test_a_host_that_one_cannot_hear_lives_for_all_of_a_large_even_fleet():
+    # The stream between two hosts is cut. Callers that ask one of them must still be
+    # sent to the other, which all others hear.
+    played = Played(even(40), needed=1e9)
+    played.play(1.0)
+    played.cut.add(("h-0", "h-1"))
+    played.play(SILENT_AFTER_S + 1.0)
+    assert "h-1" in played.rosters["h-0"].live_ids(played.now)
+    assert "h-0" in played.rosters["h-1"].live_ids(played.now)
+
+
 def test_an_active_host_that_dies_is_named_no_longer_by_anyone():
     # A host loses power. Callers that are sent to it wait a second for nothing; also
     # hosts that never spoke to it must hear of its end.
