--- a/tests/test_placement_load.py
+++ b/tests/test_placement_load.py
@@ -122,6 +122,35 @@
     assert max(total.worst_shift(r, since=2) for r in HOSTS) <= SHIFT_MOST
 
 
+def accounts(flooding, seconds=24):
+    """Play accounts; one may flood, and its quota lets 1.6 times its usual by."""
+    times = 1.6 if flooding else 1.0
+    kinds = [
+        Kind("others", "dispatch", 80.0, 0.64, 0.4),
+        Kind("one", "dispatch", 9.0 * times, 0.64, 0.4, like="others"),
+    ]
+    return LoadPlayer(SERVERS, HOSTS).play(kinds, seconds, wave)
+
+
+def test_an_account_that_floods_costs_the_others_next_to_nothing():
+    # One account sends eight times its usual. Its quota is all that reaches servers.
+    before = accounts(flooding=False).share("others", since=8)
+    assert accounts(flooding=True).share("others", since=8) > before - 0.01
+
+
+def test_no_account_is_left_behind_when_all_send_twice_what_is_borne():
+    # Requests of urgent accounts may wait where others are refused. The others must
+    # still get a fair part of the slots: a quarter of what all get at the least.
+    kinds = [
+        Kind("urgent", "dispatch", 60.0, 0.64, 0.4, urgent=True, like="usual"),
+        Kind("usual", "dispatch", 540.0, 0.64, 0.4),
+    ]
+    out = LoadPlayer(SERVERS, HOSTS).play(kinds, 16)
+    served = {kind: 1 - refused(out, kind, 4) for kind in ("urgent", "usual")}
+    assert served["usual"] < 0.9
+    assert min(served.values()) > max(served.values()) / 4
+
+
 def test_servers_that_all_shed_keep_their_keys():
     # For eight seconds each server sheds half of what it gets though it has room.
     # Passed over for that, every key wandered over all servers and was cold on each.
