Servers that nothing was sent to take less memory

An empty deque for a server's cold share took 600 bytes of it; the keys that a server knows are kept in a plain dict, which keeps their order as well.

--- a/lacewingcross/core/cold.py
+++ b/lacewingcross/core/cold.py
@@ -21,10 +21,13 @@
     __slots__ = ("_sent",)
 
     def __init__(self) -> None:
-        self._sent: deque[float] = deque()
+        # Most servers are never cold here, and an empty deque takes 600 bytes.
+        self._sent: deque[float] | None = None
 
     def room(self, limit: int, now: float) -> bool:
         """Tell whether one more send stays within `limit` in the window."""
+        if self._sent is None:
+            return limit > 0
         oldest = now - WINDOW_S - ARRIVAL_SPREAD_S
         while self._sent and self._sent[0] <= oldest:
             self._sent.popleft()
@@ -32,6 +35,8 @@
 
     def count(self, now: float) -> None:
         """Count one send."""
+        if self._sent is None:
+            self._sent = deque()
         self._sent.append(now)
 
 
--- a/lacewingcross/core/warmth.py
+++ b/lacewingcross/core/warmth.py
@@ -5,8 +5,6 @@
 of other hosts.
 """
 
-from collections import OrderedDict
-
 # Keys remembered for each server, so that memory stays bounded (some 100 bytes each).
 # Servers keep fewer themselves; a key that was handled long ago is dropped first.
 KEYS_MOST = 512
@@ -18,7 +16,8 @@
     __slots__ = ("_keys",)
 
     def __init__(self) -> None:
-        self._keys: OrderedDict[str, None] = OrderedDict()
+        # The latest last.
+        self._keys: dict[str, None] = {}
 
     def holds(self, key: str) -> bool:
         """Tell whether the server has handled the key of late."""
@@ -27,10 +26,10 @@
     def handled(self, key: str) -> bool:
         """Note that the server handled a key; return whether that is news."""
         news = key not in self._keys
+        self._keys.pop(key, None)
         self._keys[key] = None
-        self._keys.move_to_end(key)
         if len(self._keys) > KEYS_MOST:
-            self._keys.popitem(last=False)
+            del self._keys[next(iter(self._keys))]
         return news
 
     def forget(self, key: str) -> None:
