Changes of the store go to a large fleet's hosts in two steps

With more than 24 active hosts it tells one of each group on a ring, and that one the others of its group; whoever is missed sees from signs of life that it is behind.

--- a/lacewingcross/core/contacts.py
+++ b/lacewingcross/core/contacts.py
@@ -6,6 +6,7 @@
 to two of them, its relays.
 """
 
+import math
 from collections.abc import Iterator
 from functools import lru_cache
 
@@ -33,6 +34,8 @@
 # Active hosts that tell another one of all whom they hear. It knows so from many places
 # whether somebody hears a host that it does not hear itself.
 TELLERS = 12
+# Up to so many active hosts hear changes from the one that follows the store itself.
+TOLD_DIRECTLY = 24
 
 
 def counts_every_s(roster: Roster) -> float:
@@ -56,6 +59,44 @@
     return frozenset(ring[place - count] for count in range(1, TELLERS + 1))
 
 
+def first_hops(roster: Roster, now: float) -> frozenset[str]:
+    """Return the active hosts that the one that follows the store tells of changes.
+
+    Answers this load: an even fleet of 100 hosts and 1,000 servers. If one host told
+    all others of each change, it would send ten times what the others do. Each of a few
+    that it tells passes it on to the hosts beside it on the ring. One that dies before
+    it has done so is made up for: whoever is behind sees it from signs of life.
+    """
+    if len(roster.active) <= TOLD_DIRECTLY:
+        return frozenset(roster.active)
+    return frozenset(
+        next((host for host in group if _may_pass_on(roster, host, now)), group[0])
+        for group in _groups(roster)
+    )
+
+
+def next_hops(roster: Roster) -> frozenset[str]:
+    """Return the active hosts that this one passes changes on to."""
+    own = roster.own.host_id
+    if len(roster.active) <= TOLD_DIRECTLY:
+        return frozenset()
+    beside = next((group for group in _groups(roster) if own in group), [])
+    return frozenset(beside) - {own}
+
+
+def _groups(roster: Roster) -> Iterator[list[str]]:
+    """Yield the active hosts in groups, as many as a group has members."""
+    ring = sorted(roster.active, key=_place_on_ring)
+    size = math.isqrt(len(ring) - 1) + 1
+    for first in range(0, len(ring), size):
+        yield ring[first : first + size]
+
+
+def _may_pass_on(roster: Roster, host_id: str, now: float) -> bool:
+    entry = roster.entries.get(host_id)
+    return entry is not None and entry.live(now)
+
+
 @lru_cache(maxsize=8192)
 def _place_on_ring(host_id: str) -> int:
     return hash64("ring", host_id)
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -8,7 +8,14 @@
 from .. import logs
 from ..checks import split_address
 from ..core import messages as msg
-from ..core.contacts import counts_every_s, hearers, hosts_to_tell, wanted
+from ..core.contacts import (
+    counts_every_s,
+    first_hops,
+    hearers,
+    hosts_to_tell,
+    next_hops,
+    wanted,
+)
 from ..core.crash_news import Piece, should_pass_on
 from ..core.crashes import CrashLedger
 from ..core.membership import HostInfo, member_fields
@@ -33,9 +40,9 @@
 # to the other host only after its count was told.
 COUNTS_WHOLE_S = 2.0
 # Hosts that may pass on what one of them has from the store: the host that follows it
-# tells the active ones, they tell those that stand by. One more covers hosts that do
-# not agree yet on who is active.
-HOPS_MOST = 2
+# tells active ones, these others beside them, and all of them those that stand by. One
+# more covers hosts that do not agree yet on who is active.
+HOPS_MOST = 3
 
 
 class Peers:
@@ -78,19 +85,25 @@
         return [hello, self._alive(wants=wants), link.told_hosts]
 
     def publish(self, update: Update) -> None:
-        """Tell all hosts that this one speaks to of an update from the store."""
+        """Tell other hosts of an update from the store."""
         frame = encode(changes_message(update, fresh=True))
-        for link in self._links.values():
-            link.send_frame(frame, msg.StoreChanges)
+        roster = self.gateway.roster
+        told = first_hops(roster, self.gateway.now())
+        for host_id, link in self._links.items():
+            if host_id in told or host_id not in roster.active:
+                link.send_frame(frame, msg.StoreChanges)
 
     def _pass_on(self, info: HostInfo, message: msg.StoreChanges) -> None:
-        """Tell the hosts that stand by what another host has from the store."""
+        """Tell the hosts that depend on this one what another has from the store."""
         if message.hops >= HOPS_MOST:
             return
-        active = self.gateway.roster.active
+        roster = self.gateway.roster
+        # Only the host that follows the store tells of what passed through nobody.
+        beside = next_hops(roster) if message.hops == 0 else frozenset()
         frame = b""
         for host_id, link in self._links.items():
-            if host_id in active or host_id == info.host_id:
+            needs = host_id in beside or host_id not in roster.active
+            if not needs or host_id == info.host_id:
                 continue
             frame = frame or encode(replace(message, hops=message.hops + 1))
             link.send_frame(frame, msg.StoreChanges)
--- a/tests/test_contacts.py
+++ b/tests/test_contacts.py
@@ -10,8 +10,10 @@
     LINGER_S,
     RELAYS,
     TELLERS,
+    first_hops,
     hearers,
     hosts_to_tell,
+    next_hops,
     wanted,
 )
 from lacewingcross.core.duties import part_of_fleet, part_of_region, rank
@@ -77,6 +79,39 @@
     assert len(tellers) == 40
 
 
+@pytest.mark.parametrize("count", [5, 24, 25, 60, 100])
+def test_changes_reach_every_active_host_in_two_steps(count):
+    # One host has a change from the store. It tells some twenty hosts at the most, and
+    # each of these the ones beside it.
+    played = Played(even(count), needed=1e9)
+    played.play(1.0)
+    follower = played.rosters["h-3"]
+    told = first_hops(follower, played.now)
+    reached = {"h-3", *told}
+    for name in told:
+        reached |= next_hops(played.rosters[name])
+    assert reached == set(played.rosters)
+    assert len(told) <= max(contacts.TOLD_DIRECTLY, 2 * count**0.5)
+    if count > contacts.TOLD_DIRECTLY:
+        passed_on = [len(next_hops(r)) for r in played.living()]
+        assert max(passed_on) <= count**0.5 + 1
+
+
+def test_a_dead_host_is_not_chosen_to_pass_changes_on():
+    played = Played(even(60), needed=1e9)
+    played.play(1.0)
+    follower = played.rosters["h-3"]
+    first = min(first_hops(follower, played.now))
+    played.dead.add(first)
+    played.play(SILENT_AFTER_S + 0.4)
+    told = first_hops(follower, played.now)
+    assert first not in told
+    reached = {"h-3", *told}
+    for name in told:
+        reached |= next_hops(played.rosters[name])
+    assert reached == {r.own.host_id for r in played.living()}
+
+
 def test_a_host_that_one_cannot_hear_lives_for_all_of_a_large_even_fleet():
     # The stream between two hosts is cut. Callers that ask one of them must still be
     # sent to the other, which all others hear.
