--- a/lacewingcross/core/contacts.py
+++ b/lacewingcross/core/contacts.py
@@ -1,8 +1,8 @@
 """Which other entry hosts a host speaks to, and which of them tell it everything.
 
-Answers this load: fleets of hundreds of hosts. If each spoke to each, 195 hosts would
-keep 38,000 streams and send 52,000 messages a second, nearly all of them to hosts that
-serve nobody. An active host speaks to the other active ones; one that stands by speaks
+Answers this load: fleets of hundreds of hosts. If each spoke to each, streams and
+messages would grow with the square of the fleet, nearly all of them to hosts that serve
+nobody. An active host speaks to the other active ones; one that stands by speaks
 to two of them, its relays.
 """
 
@@ -28,8 +28,7 @@
 # seconds. Requests take about 70 ms at a warm server, so older counts say little.
 COUNTS_EVERY_S = 0.03
 # Up to this many active hosts get counts at that pace, more of them as much less
-# often as they are more, so that each host tells and hears some 250 messages a second
-# at most: about 3 in 100 of a core.
+# often as they are more, so that what each host tells and hears in a second is bounded.
 COUNTS_HOSTS = 8
 # Active hosts that tell another one of all whom they hear. It knows so from many places
 # whether somebody hears a host that it does not hear itself.
--- a/lacewingcross/core/crashes.py
+++ b/lacewingcross/core/crashes.py
@@ -22,8 +22,8 @@
 # How long an end counts against the requests that were there, in seconds. A caller that
 # repeats a request by hand or by schedule does so within minutes.
 REMEMBERED_S = 300.0
-# Ends that are remembered at most; the oldest goes first. With eight requests at each
-# server, all different, they take 1.9 MB (measured as allocated memory).
+# Ends that are remembered at most, so that they take some megabytes; the oldest goes
+# first.
 ENDS_KEPT = 512
 
 
--- a/lacewingcross/core/evidence.py
+++ b/lacewingcross/core/evidence.py
@@ -11,7 +11,7 @@
 FAILURE_PAUSE_S = 1.5
 # Failures at all servers of a service: weight of the newest outcome, and the share from
 # which on they count as common to all. Passing over servers then only makes keys cold
-# elsewhere: with every server shedding 55 in 100, a key wandered over all of them.
+# elsewhere: with every server shedding, a key wanders over all of them.
 COMMON_WEIGHT = 0.05
 COMMON_FROM = 0.3
 FAILING = "failing"
--- a/lacewingcross/core/fingerprint.py
+++ b/lacewingcross/core/fingerprint.py
@@ -11,7 +11,7 @@
 from hashlib import blake2b
 
 # Bytes of a body that count. Uploads that differ have differed long before, and hashing
-# so much takes 0.3 ms of a core (timed over 300 repeats; 5 us for 3,000 bytes).
+# so much takes a fraction of a millisecond.
 BODY_MOST = 256 * 1024
 # Ten thousand requests may be remembered at a time; with 64 bits, the chance that any
 # two of them are taken for one is 3 in 10^12.
--- a/lacewingcross/core/homes.py
+++ b/lacewingcross/core/homes.py
@@ -1,12 +1,11 @@
 """Where a key lives: one home for all hosts, and one in each region.
 
-Answers this load: some seventy objects on 28 servers in three regions, where a way
-between regions takes 24 ms and cold work 450 ms more than warm work. With spilling from
-each region's home to those of the others, each object was cold on seven to nine servers
-in turn, and cold work filled the slots. Now what finds the local home full goes to the
-one home that all regions share, which is warm. With two homes by one order over all
-regions instead, more requests run in another region than their caller's: 0.61 against
-0.58 on the load of `tests/test_placement_load.py` (four seeds; 0.94 in time with both).
+Answers this load: a few objects for each server in three regions, where cold work costs
+far more than a way between regions. With spilling from each region's home to those of
+the others, each object was cold on many servers in turn, and cold work filled the
+slots. So what finds the local home full goes to the one home that all regions share,
+which is warm. With two homes by one order over all regions, more requests would run in
+another region than their caller's.
 """
 
 from .backend_state import Server
--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -22,26 +22,21 @@
 from .work_times import WorkTimes
 
 # Servers that a key may use without being known there. With one, a key whose server is
-# busy waits although another one is free; with three, each key is cold once more. On
-# the load of `tests/test_placement_load.py` (28 servers, four seeds), answered in time
-# and refused: 0.873 and 0.066 with one, 0.937 and 0.010 with two, 0.938 and 0.006 with
-# three.
+# busy waits although another one is free; with three, each key is cold once more.
 HOMES = 2
 # How many times what the target leaves beside way and work a request may wait. It is
 # late then, but a server that knows the object answers it sooner than a refusal and a
-# second try would. On the same load, answered in time and refused: 0.931 and 0.014 with
-# 0.5, 0.936 and 0.012 with 1, 0.937 and 0.010 with 2, 0.934 and 0.008 with 4.
+# second try would.
 WAIT_SHARE = 2.0
 # At least this many may wait, also while all is cold: each refusal of a slot warms
-# another server. On the same load 0.010 are refused, 0.012 with none.
+# another server.
 WAITING_LEAST = 1
 # Shortest silence that counts against a server, in seconds.
 SILENT_MIN_S = 0.35
 # Pauses for refused callers are spread by this much around the expected wait, so that
 # those who were refused together do not return together.
 SPREAD = 0.5
-# Servers at the head of a key's order among which it may stay warm. On the same load,
-# answered in time: 0.909 with the homes alone, 0.935 with six, 0.937 with twelve.
+# Servers at the head of a key's order among which it may stay warm.
 STAY_AMONG = 12
 # A home at which nothing was in flight for so long takes a key over although it is warm
 # elsewhere, in seconds: several times what warm work takes.
@@ -235,8 +230,7 @@
         server.used_at = now
         server.evidence.sent(number, now, self.patience_s(choice.ask))
         if choice.thing:
-            # Warm from the start of the first request on: a second one that came 100 ms
-            # later took as long as any later one.
+            # Warm from the start of the first request on, not from its answer.
             self.known.handled(server, choice.thing)
         if server.cold(now):
             server.cold_share.count(now)
--- a/lacewingcross/core/watching.py
+++ b/lacewingcross/core/watching.py
@@ -30,9 +30,8 @@
 # word is then in force 2.1 s later.
 PATIENCE_MAX_S = 2.0
 # The same for a host that has nothing yet and that callers are sent to, in seconds: a
-# peer that has everything tells it within that time of its start. With 0.4 to 0.8, a
-# fleet of twelve hosts that lost power, and whose first host came back last, served
-# 0.5 s later and refused 353 of 1,315 requests of two seconds, not 92.
+# peer that has everything tells it within that time of its start. A fleet that has lost
+# power, and whose first host comes back last, would serve that much later.
 EMPTY_S = 0.06
 # The same when the whole system starts for the first time, in seconds, later for each
 # rank: nobody has anything, and callers come later.
--- a/lacewingcross/gateway/__main__.py
+++ b/lacewingcross/gateway/__main__.py
@@ -1,7 +1,7 @@
 """Run the entry host's daemon: ``python -m lacewingcross.gateway``.
 
-The command line's libraries are not loaded here: they double the time that a host
-takes to start (0.41 s against 0.27 s, whole process) and cost 8 MB.
+The command line's libraries are not loaded here: a host would take half as long again
+to start, and more memory.
 """
 
 import sys
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -300,9 +300,7 @@
     path = settings_path()
     if not path:
         raise SettingsError("no-settings", f"expected {SETTINGS_VARIABLE} to be set")
-    # What is loaded now stays and need not be looked through at each collection. With
-    # the lighter start (see `__main__`) a calm day of nine hosts took 38.2 s of
-    # processor time instead of 46.5.
+    # What is loaded now stays and need not be looked through at each collection.
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     asyncio.run(run_gateway(path))
--- a/lacewingcross/gateway/crashes.py
+++ b/lacewingcross/gateway/crashes.py
@@ -175,10 +175,7 @@
 
         Failure: a server ends, and each host learns it by a request of its own that
         finds nobody there. Callers are refused when both servers that were tried have
-        ended. With a fifth, then three in ten, of a service's servers killed, callers
-        got 270, 383 and 332 refusals and not 281, 399 and 369 (three seeds, 25,000
-        requests each); where servers go down and up by turns, 68 and 82 and not 98 and
-        333 (two seeds).
+        ended, above all where servers go down and up by turns.
         """
         known = self._steering.placement.known.servers.get(server[0])
         if known is not None and known.entry.incarnation == server:
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -117,9 +117,9 @@
     def _tell_counts(self) -> None:
         """Tell each active host where the number in flight has changed.
 
-        The others get a sign of life; they place next to nothing. Of a busy host's
-        thirty servers some four have changed from one turn to the next; all of them in
-        each message were nearly half of the bytes between regions.
+        The others get a sign of life; they place next to nothing. Few of a busy host's
+        servers have changed from one turn to the next; all of them in each message
+        would be much of what goes between regions.
         """
         gateway = self.gateway
         now = gateway.now()
@@ -213,8 +213,7 @@
         """Tell each host what it does not know yet of servers that ended.
 
         Each piece is encoded once for all streams, and only what is new is looked at:
-        with the log full, an end took 11.9 ms of the loop at 641 streams and takes 1.2
-        (0.66 and 0.07 at 37; medians of 20, the streams not written).
+        with hundreds of streams an end would hold the loop for many milliseconds.
         """
         news = self.gateway.crashes.news
         frames: dict[int, tuple[bytes, type[msg.Message]]] = {}
--- a/lacewingcross/wire.py
+++ b/lacewingcross/wire.py
@@ -22,8 +22,7 @@
 COMPRESSED = 1 << 31
 _LENGTH = struct.Struct(">I")
 _encoder = msgspec.msgpack.Encoder()
-# Reads and checks types in one go: a sign of life with 40 counts takes 2 us of a core,
-# checked field by field in Python 42.
+# Reads and checks types in one go, many times as fast as field by field in Python.
 _decoder = msgspec.msgpack.Decoder(msg.Message)
 
 
