--- a/lacewingcross/core/active.py
+++ b/lacewingcross/core/active.py
@@ -3,8 +3,9 @@
 Answers this load: fleets of a few large hosts and many small ones, of which a tenth
 could carry all requests. Callers choose at random among the hosts that they are named.
 If that were all of them, the small ones (a fifth of a large one's processor time and
-less of a link) would be full first, hardly any two requests for a server would share a connection,
-and what each of 195 hosts knows of a server with five slots would always be old.
+less of a link) would be full first, hardly any two requests for a server would share a
+connection, and what each of 195 hosts knows of a server with five slots would always be
+old.
 
 The others stand by: they know the configuration, the servers and the active hosts, and
 become active when some of these are lost.
--- /dev/null
+++ b/lacewingcross/gateway/telling.py
@@ -0,0 +1,196 @@
+"""What another entry host is told: signs of life, counts, who lives, ended servers."""
+
+from collections.abc import Iterator
+
+from ..core import messages as msg
+from ..core.contacts import hearers, hosts_to_tell, wanted
+from ..core.crash_news import Piece, should_pass_on
+from ..core.crashes import CrashLedger
+from ..core.membership import member_fields
+from ..core.replica import Kind
+from ..core.roster import ALIVE_EVERY_S
+from ..wire import PROTOCOL, encode
+from .context import Gateway
+from .link import Link
+
+# All counts are told again after so long, in seconds: a server may have become known
+# to the other host only after its count was told.
+COUNTS_WHOLE_S = 2.0
+
+
+class Telling:
+    """Tells other hosts, on the links that `Peers` keeps, what they do not know yet.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        What the parts of this host share.
+    links : dict of str to Link
+        Links by host id; kept by the caller.
+    """
+
+    __slots__ = ("_gateway", "_links")
+
+    def __init__(self, gateway: Gateway, links: dict[str, Link]) -> None:
+        self._gateway = gateway
+        self._links = links
+
+    def greeting(self, link: Link | None) -> list[msg.Message]:
+        """Return what a host is told first on a new stream."""
+        gateway = self._gateway
+        own = gateway.roster.own
+        hello = msg.Hello(
+            own.host_id,
+            gateway.incarnation,
+            PROTOCOL,
+            own.region,
+            own.failure_domain,
+            own.entry,
+            own.peer,
+            own.cores,
+        )
+        if link is None:
+            return [hello, self._alive(wants=True)]
+        wants = link.info.host_id in wanted(gateway.roster, gateway.now())
+        told_all = hearers(gateway.roster)
+        link.told_hosts = self._hosts_for(link.info.host_id, told_all)
+        return [hello, self._alive(wants=wants), link.told_hosts]
+
+    def tell_counts(self) -> None:
+        """Tell each active host where the number in flight has changed.
+
+        The others get a sign of life; they place next to nothing. Few of a busy host's
+        servers have changed from one turn to the next; all of them in each message
+        would be much of what goes between regions.
+        """
+        gateway = self._gateway
+        now = gateway.now()
+        known = gateway.steering.placement.known
+        counts = known.in_flight()
+        handled = known.handled_news()
+        wants = wanted(gateway.roster, now)
+        # Most links were told the same last, so they get the same frame now.
+        frames: dict[tuple[bool, bool, int], bytes] = {}
+        for host_id, link in self._links.items():
+            active = host_id in gateway.roster.active
+            news = active and (counts != link.told or bool(handled))
+            if not news and now - link.told_at < ALIVE_EVERY_S:
+                continue
+            if not active or now - link.whole_at >= COUNTS_WHOLE_S:
+                link.told = None
+            form = (host_id in wants, active, id(link.told))
+            if form not in frames:
+                told = (counts, handled, link.told) if active else ({}, [], None)
+                frames[form] = encode(self._alive(*told, wants=form[0]))
+            if link.told is None:
+                link.whole_at = now
+            link.told = counts if active else None
+            link.told_at = now
+            link.send_frame(frames[form], msg.Alive)
+
+    def _alive(
+        self,
+        counts: dict[str, int] | None = None,
+        handled: list[tuple[str, str]] | None = None,
+        before: dict[str, int] | None = None,
+        *,
+        wants: bool,
+    ) -> msg.Alive:
+        """Return a sign of life; `before` is what was told last, None for nothing."""
+        counts = counts or {}
+        roster = self._gateway.roster
+        replica = self._gateway.steering.replica
+        return msg.Alive(
+            roster.leaving,
+            roster.starting,
+            roster.turned_away,
+            wants,
+            [replica.as_of(kind) for kind in Kind],
+            list(changed_counts(counts, before or {})),
+            handled or [],
+            before is None,
+        )
+
+    def _hosts_for(self, receiver: str, told_all: frozenset[str]) -> msg.KnownHosts:
+        """Return the message that tells another host who lives."""
+        roster = self._gateway.roster
+        entries = roster.entries
+        stands_by = receiver not in roster.active
+        infos = hosts_to_tell(roster, receiver, self._gateway.now(), told_all)
+        starting = [
+            info.host_id
+            for info in infos
+            if info.host_id in entries and entries[info.host_id].starting
+        ]
+        if stands_by and roster.is_active and roster.starting:
+            starting.append(roster.own.host_id)
+        fields = [member_fields(info) for info in infos]
+        return msg.KnownHosts(stands_by, fields, starting)
+
+    def tell_hosts(self) -> None:
+        """Tell each host that needs it who lives, when that has changed."""
+        active = self._gateway.roster.active
+        told_all = hearers(self._gateway.roster)
+        told: dict[tuple[bool, bool], msg.KnownHosts] = {}
+        frames: dict[tuple[bool, bool], bytes] = {}
+        for host_id, link in self._links.items():
+            form = (host_id in active, host_id in told_all)
+            if form not in told:
+                told[form] = self._hosts_for(host_id, told_all)
+            if told[form] == link.told_hosts:
+                continue
+            link.told_hosts = told[form]
+            if form not in frames:
+                frames[form] = encode(told[form])
+            link.send_frame(frames[form], msg.KnownHosts)
+
+    def tell_news(self) -> None:
+        """Tell each host what it does not know yet of servers that ended.
+
+        Each piece is encoded once for all streams, and only what is new is looked at:
+        with hundreds of streams an end would hold the loop for many milliseconds.
+        """
+        news = self._gateway.crashes.news
+        frames: dict[int, tuple[bytes, type[msg.Message]]] = {}
+        for host_id, link in self._links.items():
+            active = host_id in self._gateway.roster.active
+            if link.told_as_active != active:
+                # Whoever told it the news so far may have stopped in this moment.
+                link.told_as_active = active
+                link.told_news = None
+            if link.told_news != news.newest:
+                for piece in self._pieces_for(host_id, link):
+                    if piece.number not in frames:
+                        frames[piece.number] = self._news_frame(piece)
+                    link.send_frame(*frames[piece.number])
+                link.told_news = news.newest
+
+    def _pieces_for(self, host_id: str, link: Link) -> Iterator[Piece]:
+        active = self._gateway.roster.active
+        fresh = link.told_news is None
+        for piece in self._gateway.crashes.news.since(link.told_news):
+            if should_pass_on(piece, host_id, active, fresh=fresh):
+                yield piece
+
+    def _news_frame(self, piece: Piece) -> tuple[bytes, type[msg.Message]]:
+        message = news_message(piece, self._gateway.crashes.ledger)
+        return encode(message), type(message)
+
+
+def changed_counts(
+    counts: dict[str, int], before: dict[str, int]
+) -> Iterator[tuple[str, int]]:
+    """Yield the servers whose count has changed, and the count."""
+    for server_id, count in counts.items():
+        if before.get(server_id) != count:
+            yield server_id, count
+    for server_id in before.keys() - counts.keys():
+        yield server_id, 0
+
+
+def news_message(piece: Piece, ledger: CrashLedger) -> msg.Message:
+    """Return the message that tells a piece of news."""
+    if piece.answered:
+        return msg.RequestAnswered(piece.answered)
+    requests = sorted(ledger.requests_at(piece.ended))
+    return msg.ServerEnded(*piece.ended, requests[: msg.REQUESTS_MOST])
--- a/tests/test_contacts.py
+++ b/tests/test_contacts.py
@@ -56,8 +56,8 @@
 
 
 def test_what_a_host_of_an_even_fleet_tells_does_not_grow_with_its_square():
-    # All hosts of an even fleet are active. With each telling each of all others whom
-    # it hears, 100 hosts that start sent 40 times what 15 did.
+    # All hosts of an even fleet are active. If each told each of all others whom it
+    # hears, what a host sends while they start would grow with the fleet's square.
     def told(count):
         played = Played(even(count), needed=1e9)
         played.play(1.0)
