An account that loses its quota and gets it back is paid for at once

Callers of such an account were refused at each host after its first few requests, for up to a minute. Cause: the host's sums began at nought again, and a keeper that had heard only of the last version took them for old news (a test with five hosts fails before). A host's sums of a new account now begin at the highest that it ever told of one that is gone, as paid.

--- a/lacewingcross/core/quota_ledger.py
+++ b/lacewingcross/core/quota_ledger.py
@@ -109,12 +109,22 @@
         Source of spreads.
     """
 
-    __slots__ = ("_bound", "_open", "_rng", "_tabs", "callers_parts", "holders")
+    __slots__ = (
+        "_bound",
+        "_dropped",
+        "_open",
+        "_rng",
+        "_tabs",
+        "callers_parts",
+        "holders",
+    )
 
     def __init__(self, bound: QuotaBound, rng: RandomSource) -> None:
         self._bound = bound
         self._rng = rng
         self._tabs: dict[str, _Tab] = {}
+        # The highest sums, charged and returned, of accounts that are gone.
+        self._dropped = (0, 0)
         # Accounts of which something is yet to be told or paid.
         self._open: set[str] = set()
         # Among how many hosts debts are divided; 0 allows this host none.
@@ -125,10 +135,27 @@
     def configure(self, quotas: dict[str, Quota]) -> None:
         """Take over the quotas of all accounts."""
         for account in self._tabs.keys() - quotas.keys():
-            del self._tabs[account]
-            self._open.discard(account)
+            self._drop(account)
         for account, quota in quotas.items():
-            self._tabs.setdefault(account, _Tab(quota)).quota = quota
+            if account in self._tabs:
+                self._tabs[account].quota = quota
+            else:
+                self._tabs[account] = self._new_tab(quota)
+
+    def _drop(self, account: str) -> None:
+        tab = self._tabs.pop(account)
+        self._open.discard(account)
+        charged, returned = self._dropped
+        self._dropped = (max(charged, tab.charged), max(returned, tab.returned))
+
+    def _new_tab(self, quota: Quota) -> _Tab:
+        """Return a tab whose sums are no lower than those of any that was dropped.
+
+        Failure: an account loses its quota and gets it back, and its keeper has heard
+        only of the last version. Lower sums look like old news to it.
+        """
+        charged, returned = self._dropped
+        return _Tab(quota, None, charged, returned, paid=charged - returned)
 
     def set_bound(self, bound: QuotaBound) -> None:
         """Take over what all hosts keep to."""
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bench.quota_fleet import STEP_S, QuotaFleet
+from bench.quota_fleet import STEP_S, QuotaFleet, accounts_with
 from lacewingcross.core import quota_holders, quota_keeper, quotas
 from lacewingcross.core.active import active_hosts
 from lacewingcross.core.quota import Quota
@@ -240,6 +240,22 @@
     assert sum(fleet.refused.values()) <= sent / 50
 
 
+def test_an_account_that_loses_its_quota_and_gets_it_back_is_served():
+    # Operators take an account's quota away and set it again. A keeper that heard only
+    # of the last version has the host's old sums, and sums that began at nought again
+    # would look like old news: nothing would be paid for a minute.
+    fleet = settled()
+    fleet.play(10.0, load_of(times_quota(0.625)))
+    keeper = next(iter(fleet.nodes.values())).quotas.ledger.keeper("large")
+    for name, node in fleet.nodes.items():
+        if name != keeper:
+            node.quotas.configure(accounts_with({"small": SMALL}), fleet._times(node))
+            node.quotas.configure(accounts_with(BOTH), fleet._times(node))
+    before = dict(fleet.refused)
+    fleet.play(5.0, load_of(times_quota(0.625)))
+    assert fleet.refused["large"] - before["large"] <= 2
+
+
 # Guards taken out
 
 
