Credit of a caller that leaves while its host asks for it goes back

A caller left in the moment in which its account's keeper paid for it. The request never ran, but its credit was gone: nobody was there to take the decision, and nothing took it back (two tests fail before). Now a decision that nobody waits for any more takes the request back.

--- a/lacewingcross/gateway/quota_desk.py
+++ b/lacewingcross/gateway/quota_desk.py
@@ -78,11 +78,17 @@
         fut = asyncio.get_running_loop().create_future()
         waiters = self._waiters.setdefault(account, deque())
         waiters.append(fut)
+        outcome = Outcome.REFUSED
         try:
             async with asyncio.timeout(WAIT_MOST_S):
                 outcome = await fut
         except TimeoutError:
-            outcome = Outcome.REFUSED
+            outcome = _decision(fut)
+        except asyncio.CancelledError:
+            # The caller has left in the moment in which its request was admitted.
+            if _decision(fut) is Outcome.ADMITTED:
+                self._quotas.ledger.cancel(account)
+            raise
         finally:
             if fut in waiters:
                 waiters.remove(fut)
@@ -103,7 +109,8 @@
             return
         decided = self._quotas.ledger.decided(account, self._times().now)
         for _ in range(decided.admitted):
-            _wake(waiters.popleft(), Outcome.ADMITTED)
+            if not _wake(waiters.popleft(), Outcome.ADMITTED):
+                self._quotas.ledger.cancel(account)
         for _ in range(decided.refused):
             _wake(waiters.pop(), Outcome.REFUSED)
 
@@ -175,6 +182,16 @@
             self._decide(account)
 
 
-def _wake(fut: asyncio.Future[Outcome], outcome: Outcome) -> None:
-    if not fut.done():
-        fut.set_result(outcome)
+def _wake(fut: asyncio.Future[Outcome], outcome: Outcome) -> bool:
+    """Hand a decision over; return whether anybody still waits for it."""
+    if fut.done():
+        return False
+    fut.set_result(outcome)
+    return True
+
+
+def _decision(fut: asyncio.Future[Outcome]) -> Outcome:
+    """Return what was decided while its waiting was being broken off."""
+    if fut.done() and not fut.cancelled():
+        return fut.result()
+    return Outcome.REFUSED
--- /dev/null
+++ b/tests/test_quota_desk.py
@@ -0,0 +1,89 @@
+"""Requests that wait at a host for their keeper's word."""
+
+import asyncio
+import random
+
+import pytest
+
+from bench.quota_fleet import accounts_with, host_info
+from lacewingcross.core import messages as msg
+from lacewingcross.core.quota import Quota, QuotaBound
+from lacewingcross.core.quota_ledger import Outcome
+from lacewingcross.core.quotas import Quotas, Times
+from lacewingcross.core.roster import Roster
+from lacewingcross.gateway.quota_desk import QuotaDesk
+from lacewingcross.metrics import Metrics
+
+
+class Desk:
+    """A desk of a host without a share, whose keeper is another host."""
+
+    def __init__(self):
+        self.now = 100.0
+        roster = Roster(host_info(0))
+        roster.starting = False
+        self.keeper = host_info(1)
+        roster.heard(self.keeper, 1, self.now, leaving=False)
+        roster.review(self.now)
+        quotas = Quotas(roster, QuotaBound(), random.Random(1), first_start=False)
+        quotas.configure(accounts_with({"a": Quota(10.0, 10.0)}), self.times())
+        quotas.ledger.set_keeper("a", self.keeper.host_id)
+        self.ledger = quotas.ledger
+        self.desk = QuotaDesk(quotas, roster, Metrics(), self.times)
+
+    def times(self):
+        return Times(self.now, self.now)
+
+    def pay(self, count):
+        items = [("a", 0, count, 0.0)]
+        self.desk.heard(self.keeper, 1, msg.QuotaReceipts(items))
+
+    def counted(self):
+        """Return how many requests count as run or waiting."""
+        told = self.ledger.charge_of("a", self.now)
+        return told.charged - told.returned
+
+
+def run(test):
+    asyncio.run(asyncio.wait_for(test(), 5.0))
+
+
+def test_a_request_waits_for_its_keeper_s_word():
+    async def play():
+        made = Desk()
+        waiting = asyncio.ensure_future(made.desk.admit("a"))
+        await asyncio.sleep(0)
+        made.pay(1)
+        assert (await waiting).outcome is Outcome.ADMITTED
+
+    run(play)
+
+
+def test_a_request_that_hears_nothing_is_refused_with_a_time():
+    async def play():
+        found = await Desk().desk.admit("a")
+        assert found.outcome is Outcome.REFUSED
+        assert found.retry_after_s > 0
+
+    run(play)
+
+
+@pytest.mark.parametrize("paid_first", [True, False])
+def test_credit_of_a_caller_that_leaves_while_it_waits_goes_back(paid_first):
+    # The keeper pays and the caller leaves in the same moment. The request never runs;
+    # its credit must not be lost to the account's other callers.
+    async def play():
+        made = Desk()
+        waiting = asyncio.ensure_future(made.desk.admit("a"))
+        await asyncio.sleep(0)
+        if paid_first:
+            made.pay(1)
+            waiting.cancel()
+        else:
+            waiting.cancel()
+            made.pay(1)
+        await asyncio.wait((waiting,))
+        assert waiting.cancelled()
+        assert made.counted() == 0
+
+    run(play)
