--- /dev/null
+++ b/tests/test_leaving_gateway.py
@@ -0,0 +1,41 @@
+"""A host that leaves: the last requests that reach it."""
+
+import asyncio
+
+from lacewingcross.gateway import app as gateway_app
+from lacewingcross.http1_client import ClientConnection
+from lacewingcross.http1_connection import ServerConnection
+from tests.gateway_parts import answer, fleet, headers
+from tests.test_gateway import in_loop
+
+
+@in_loop
+async def test_a_request_that_comes_as_the_listener_closes_is_answered(monkeypatch):
+    # A host is told to end. It serves on for three seconds, closes its listener and the
+    # idle connections, finds that nothing is running, and ends. A caller's connection
+    # was just being accepted: it was in no list yet, so it stayed. Its booking was read
+    # and sent to a server, which ran it, and the caller got neither answer nor refusal.
+    monkeypatch.setattr(gateway_app, "SERVE_ON_S", 0.2)
+    monkeypatch.setattr(ServerConnection, "close_if_idle", lambda self: None)
+
+    async def works(received, writer):
+        await asyncio.sleep(0.3)
+        writer.write(answer(received.request_id))
+
+    async with fleet() as made:
+        made.configure()
+        server = await made.add_server(works)
+        app = await made.ready(await made.add_host())
+        conn = await ClientConnection.open(app.gateway.cfg.entry)
+        made.stops[0].set()
+        while not app.entry.server.closing:
+            await asyncio.sleep(0.001)
+        fields = [(b"Host", b"a.example"), *headers("r1"), (b"Content-Length", b"1")]
+        await conn.send_head("POST", "/unsafe/a", fields)
+        await conn.send_body(b"x")
+        await conn.finish()
+        head = await conn.read_head()
+        assert head.status == 200
+        assert len(server.requests) == 1
+        conn.close()
+        await asyncio.wait_for(made.tasks[0], 5.0)
