A host that leaves ends only when its last connections have been quiet

Cause: a connection that was just being accepted is in no list when the listener closes the idle ones; nothing was running, so the host ended, and its request began in the next moment. The host's log shows host-stopped cut=0 at 8.004 s, a millisecond before the request was sent on. Now a leaving host waits until its open connections have been quiet for 0.3 s, or there are none, and closes them all before anything else can begin: between the last look and the close the loop does not turn.

--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -44,6 +44,9 @@
 # Time kept between the end of the last request and the platform's kill, in seconds.
 END_EARLY_S = 0.3
 FINISH_POLL_S = 0.02
+# How long a leaving host waits for requests on connections that are still open, in
+# seconds: a packet that was lost on the way comes again within it.
+QUIET_END_S = 0.3
 SETTINGS_POLL_S = 2.0
 # Part of a server's connection limit that all hosts together use.
 CONNECTION_MARGIN = 0.8
@@ -273,14 +276,30 @@
         leave = asyncio.get_running_loop().create_task(self._hosts.leave())
         await asyncio.sleep(min(SERVE_ON_S, gateway.cfg.bounds.grace_s / 2))
         await self.entry.server.stop_listening()
-        ends = started + gateway.cfg.bounds.grace_s - END_EARLY_S
-        while self.entry.running and gateway.now() < ends:
-            await asyncio.sleep(FINISH_POLL_S)
+        await self._finish(started + gateway.cfg.bounds.grace_s - END_EARLY_S)
+        await self.entry.server.close()
         leave.cancel()
         await asyncio.gather(leave, return_exceptions=True)
         gateway.crashes.close()
         logs.event("host-stopped", cut=self.entry.running)
 
+    async def _finish(self, ends: float) -> None:
+        """Wait until every request has had its answer, `ends` at most.
+
+        Failure: a connection was being accepted as the listener closed, and no list of
+        open ones had it. Its request comes in the next moment, is sent to a server, and
+        the host, which had found nothing running, ends under it. So a host that still
+        has connections waits until they have been quiet for a while; then it closes
+        them before anything else can begin.
+        """
+        quiet_since = self.gateway.now()
+        while (now := self.gateway.now()) < ends:
+            if self.entry.running:
+                quiet_since = now
+            elif not self.entry.server.connections or now - quiet_since >= QUIET_END_S:
+                return
+            await asyncio.sleep(FINISH_POLL_S)
+
 
 def _changed_at(path: str) -> float:
     try:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -370,16 +370,17 @@
         made.configure()
         await made.add_server(answers_at_once)
         first = await made.ready(await made.add_host())
-        greeting = type(first._peers).greeting
+        telling = first._peers._telling
+        greeting = type(telling).greeting
         broken = [True, True]
 
-        def greets_badly(peers, link):
-            if broken and peers is first._peers:
+        def greets_badly(speaker, link):
+            if broken and speaker is telling:
                 broken.pop()
                 raise TypeError("not iterable")
-            return greeting(peers, link)
+            return greeting(speaker, link)
 
-        monkeypatch.setattr(type(first._peers), "greeting", greets_badly)
+        monkeypatch.setattr(type(telling), "greeting", greets_badly)
         second = await made.ready(await made.add_host())
         entries = second.gateway.roster.entries
         await until(lambda: any(e.live(second.gateway.now()) for e in entries.values()))
