One reader of metrics pages for both commands that print one

accounts and messages each picked a page's figures by the beginnings of their names and printed rows as a table or JSON. metrics_page.py fetches and reads for both, print_rows prints.

--- a/lacewingcross/cli/accounts.py
+++ b/lacewingcross/cli/accounts.py
@@ -1,9 +1,7 @@
 """The command that shows what a host admitted of each client account."""
 
-import asyncio
-
-from .messages import metrics_page
-from .output import Output, print_json, print_table
+from .metrics_page import fetch_page, figures_by_name
+from .output import Output, print_rows
 
 HEAD = ("account", "admitted", "refused", "unpaid", "kept here")
 ADMITTED = "accounts.admitted."
@@ -30,24 +28,10 @@
     output
         Form of the output.
     """
-    rows = rows_of(asyncio.run(metrics_page(url)))
-    if output == "json":
-        print_json([dict(zip(HEAD, row, strict=True)) for row in rows])
-    else:
-        print_table(HEAD, rows)
+    print_rows(HEAD, rows_of(fetch_page(url)), output)
 
 
 def rows_of(page: str) -> list[Row]:
     """Return a row for each account in a metrics page, the most refused first."""
-    figures = dict(line.rsplit(" ", 1) for line in page.splitlines() if " " in line)
-    names = {
-        name.removeprefix(column)
-        for name in figures
-        for column in COLUMNS
-        if name.startswith(column)
-    }
-    rows = [
-        (name, *(float(figures.get(column + name, 0)) for column in COLUMNS))
-        for name in names
-    ]
-    return sorted(rows, key=lambda row: (-row[2], row[0]))
+    rows = [(name, *figures) for name, figures in figures_by_name(page, COLUMNS)]
+    return sorted(rows, key=lambda row: -row[2])
--- a/lacewingcross/cli/output.py
+++ b/lacewingcross/cli/output.py
@@ -22,3 +22,13 @@
     for row in [list(head), *texts]:
         cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
         print("  ".join(cells).rstrip())
+
+
+def print_rows(
+    head: Sequence[str], rows: Sequence[Sequence[object]], output: str
+) -> None:
+    """Print rows as a table, or as JSON objects with the words of `head` as names."""
+    if output == "json":
+        print_json([dict(zip(head, row, strict=True)) for row in rows])
+    else:
+        print_table(head, rows)
