Quotas: each step in one place

Books of hosts are looked through every 5 s and not 25 times a second, known hosts compared without hashing each. 'View' in place of 'reckoning'. The model's callers and its Poisson numbers serve the comparison and the tests; two leftovers in tests, a function that nothing called and a patch undone by hand, are out.

--- a/bench/quota_fleet.py
+++ b/bench/quota_fleet.py
@@ -4,10 +4,12 @@
 (`bench.quota_ways`).
 """
 
+import math
 import random
 from collections import deque
 from dataclasses import dataclass, field
 
+from lacewingcross.core import messages as msg
 from lacewingcross.core.accounts import Accounts, ClientAccount
 from lacewingcross.core.membership import HostInfo
 from lacewingcross.core.quota import Quota, QuotaBound
@@ -29,6 +31,22 @@
     return HostInfo(name, domain[0], domain, f"10.0.0.{number}:1", f"10.0.0.{number}:2")
 
 
+def poisson(rng: random.Random, mean: float) -> int:
+    """Return a Poisson number; numpy's would be a dependency for one line."""
+    least, count, product = math.exp(-mean), 0, rng.random()
+    while product > least:
+        count += 1
+        product *= rng.random()
+    return count
+
+
+def send_step(fleet, rates: dict[str, float], hosts: list[str]) -> None:
+    """Send one step's requests of accounts, at rates a second, to hosts at random."""
+    for account, rate in rates.items():
+        for _ in range(poisson(fleet.rng, rate * STEP_S)):
+            fleet.request(fleet.rng.choice(hosts), account)
+
+
 def accounts_with(quotas: dict[str, Quota]) -> Accounts:
     """Return accounts with quotas and no keys."""
     return Accounts((ClientAccount(n, quota=q), []) for n, q in quotas.items())
@@ -244,11 +262,10 @@
         if message is None:
             node.roster.heard(info, incarnation, at.now, leaving=False)
             return
-        kind = type(message).__name__
         host = (info.host_id, incarnation)
-        if kind == "QuotaLease":
+        if isinstance(message, msg.QuotaLease):
             node.quotas.heard_lease(host, message, at)
-        elif kind == "QuotaCharges":
+        elif isinstance(message, msg.QuotaCharges):
             answer = node.quotas.heard_charges(host, message, at)
             if answer is not None:
                 self._send(name, info.host_id, answer)
--- a/bench/quota_ways.py
+++ b/bench/quota_ways.py
@@ -6,7 +6,6 @@
 and the choice are in ``docs/design/quotas.md``.
 """
 
-import math
 import time
 from collections import deque
 from dataclasses import dataclass, field
@@ -14,7 +13,7 @@
 
 from lacewingcross.core.quota import Quota
 
-from .quota_fleet import STEP_S, QuotaFleet, host_info
+from .quota_fleet import STEP_S, QuotaFleet, host_info, send_step
 
 ACCOUNTS = {
     "tiny": Quota(0.8, 0.8),
@@ -146,19 +145,11 @@
     hosts: list[str] = field(default_factory=list)
 
     def __call__(self, fleet):
-        names = self.hosts or sorted(fleet.nodes)
-        for account, quota in fleet.quotas.items():
-            mean = quota.rate * self.times.get(account, CALM) * STEP_S
-            for _ in range(_poisson(fleet.rng, mean)):
-                fleet.request(fleet.rng.choice(names), account)
-
-
-def _poisson(rng, mean):
-    least, count, product = math.exp(-mean), 0, rng.random()
-    while product > least:
-        count += 1
-        product *= rng.random()
-    return count
+        rates = {
+            account: quota.rate * self.times.get(account, CALM)
+            for account, quota in fleet.quotas.items()
+        }
+        send_step(fleet, rates, self.hosts or sorted(fleet.nodes))
 
 
 def calm(fleet):
--- a/bench/soak/accounts.py
+++ b/bench/soak/accounts.py
@@ -1,7 +1,6 @@
 """Client accounts of the soak, and what servers and callers must see of them."""
 
 from bisect import bisect_left
-from collections import defaultdict
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -65,21 +64,19 @@
 
 def broken_quota(ledger: "Ledger") -> Iterator[Broken]:
     """Yield the first window in which an account ran more than all hosts may."""
-    began = defaultdict(list)
-    for runs in ledger.runs.values():
-        sent = ledger.sent.get(runs[0].request_id)
-        if sent is not None and sent.account == FLOODED:
-            began[sent.account].append((runs[0].at, sent.at))
-    for account, times in began.items():
-        times.sort()
-        for end, _ in times:
-            first = bisect_left(times, (end - BOUND.window_s, 0.0))
-            inside = [
-                at
-                for at, sent_at in times[first:]
-                if at <= end and sent_at >= end - BOUND.window_s
-            ]
-            if len(inside) > BOUND.most(QUOTA):
-                text = f"{len(inside)} requests of {account} within a window"
-                yield Broken("QUOTA", end, text)
-                break
+    times = sorted(
+        (runs[0].at, sent.at)
+        for runs in ledger.runs.values()
+        if (sent := ledger.sent.get(runs[0].request_id)) and sent.account == FLOODED
+    )
+    for end, _ in times:
+        first = bisect_left(times, (end - BOUND.window_s, 0.0))
+        inside = [
+            at
+            for at, sent_at in times[first:]
+            if at <= end and sent_at >= end - BOUND.window_s
+        ]
+        if len(inside) > BOUND.most(QUOTA):
+            text = f"{len(inside)} requests of {FLOODED} within a window"
+            yield Broken("QUOTA", end, text)
+            return
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -271,7 +271,7 @@
 class QuotaLease(_Message, tag=25):
     """The sender lends its shares of quotas, of accounts that the receiver keeps.
 
-    `key` names the sender's reckoning of the holders, `live` holds those that it sees;
+    `key` names the sender's view of the holders, `live` holds those that it sees;
     0 lends nothing. `sent_ms` is the sender's clock, `echo_ms` the receiver's as the
     sender heard it last: the lease runs from then.
     """
@@ -303,6 +303,8 @@
     request: Fingerprint
 
 
+QuotaMessage = QuotaLease | QuotaCharges | QuotaReceipts
+
 Message = (
     Hello
     | Heartbeat
@@ -328,7 +330,5 @@
     | KnownHosts
     | ServerEnded
     | RequestAnswered
-    | QuotaLease
-    | QuotaCharges
-    | QuotaReceipts
+    | QuotaMessage
 )
--- a/lacewingcross/core/quota_holders.py
+++ b/lacewingcross/core/quota_holders.py
@@ -26,7 +26,7 @@
 
 
 class Holders:
-    """The holders by one reckoning, and whom they have keep each account.
+    """The holders in one view of the fleet, and whom they have keep each account.
 
     Parameters
     ----------
@@ -38,7 +38,7 @@
     names : tuple of str
         Host ids in order.
     key : str
-        The same for all hosts that reckon the same holders.
+        The same for all hosts that have the same view.
     """
 
     __slots__ = ("_orders", "_places", "key", "names")
@@ -125,20 +125,20 @@
         self.first_start = first_start
         self.holders = Holders(())
         self.good = False
-        # The reckoning that each other host has told last.
+        # The view that each other host has told last, by its key.
         self._counted_by: dict[str, str] = {}
         self._held_at = float("-inf")
-        self._known: frozenset[HostInfo] = frozenset()
+        self._known: list[HostInfo] = []
         self._listed_at: float | None = None
         self._rivals: frozenset[str] = frozenset()
 
     def review(self, now: float) -> None:
-        """Reckon anew."""
+        """Take over what the roster knows now."""
         own = self._roster.own
-        others = frozenset(entry.info for entry in self._roster.entries.values())
+        others = [entry.info for entry in self._roster.entries.values()]
         if others != self._known or not self.holders.names:
             self._known = others
-            self._reckon(others)
+            self._choose(others)
         if self._roster.listed and self._listed_at is None:
             self._listed_at = now
         if own.host_id not in self.holders:
@@ -147,7 +147,7 @@
         self._held_at = now
         self.good = self.good or self._may_hold(now)
 
-    def _reckon(self, others: frozenset[HostInfo]) -> None:
+    def _choose(self, others: list[HostInfo]) -> None:
         own = self._roster.own
         names = choose_holders([own, *others])
         if tuple(sorted(names)) != self.holders.names:
@@ -168,11 +168,11 @@
         )
 
     def counted(self, host_id: str, key: str) -> None:
-        """Note by which reckoning another host goes."""
+        """Note which view another host has."""
         self._counted_by[host_id] = key
 
     def tells(self, now: float) -> bool:
-        """Tell whether this host has to say by which reckoning it goes."""
+        """Tell whether this host has to tell others its view."""
         return now - self._held_at < FORGET_AFTER_S
 
     def live(self, now: float) -> int:
--- a/lacewingcross/core/quota_keeper.py
+++ b/lacewingcross/core/quota_keeper.py
@@ -23,10 +23,12 @@
 LEASE_S = 1.2
 # Told to hosts while nothing is lent, as the time until there is credit, in seconds.
 UNLENT_PAUSE_S = 0.5
-# Reckonings that are remembered; holders learn of a new one within moments.
-RECKONINGS_KEPT = 4
-# Books of a host that charged nothing for so long are closed, in seconds.
+# Views of the holders that are remembered; all hosts have a new one within moments.
+VIEWS_KEPT = 4
+# Books of a host that charged nothing for so long are closed, in seconds, and how often
+# they are looked through: there is one for each account and host.
 BOOK_KEPT_S = 60.0
+CLOSE_EVERY_S = 5.0
 
 Incarnation = tuple[str, int]
 
@@ -115,14 +117,22 @@
         What all hosts keep to.
     """
 
-    __slots__ = ("_bound", "_buckets", "_leases", "_own_id", "_reckonings")
+    __slots__ = (
+        "_bound",
+        "_buckets",
+        "_closed_at",
+        "_leases",
+        "_own_id",
+        "_views",
+    )
 
     def __init__(self, own_id: str, bound: QuotaBound) -> None:
         self._own_id = own_id
         self._bound = bound
         self._buckets: dict[str, _Bucket] = {}
+        self._closed_at = float("-inf")
         self._leases: dict[str, _Lease] = {}
-        self._reckonings: dict[str, Holders] = {}
+        self._views: dict[str, Holders] = {}
 
     # What operators declare
 
@@ -151,10 +161,10 @@
     # Shares
 
     def know(self, holders: Holders) -> None:
-        """Remember a reckoning, so that leases by it can be read."""
-        self._reckonings[holders.key] = holders
-        while len(self._reckonings) > RECKONINGS_KEPT:
-            del self._reckonings[next(iter(self._reckonings))]
+        """Remember a view of the holders, so that leases that go by it can be read."""
+        self._views[holders.key] = holders
+        while len(self._views) > VIEWS_KEPT:
+            del self._views[next(iter(self._views))]
 
     def lend(self, host_id: str, key: str, live: int, until: float, now: float) -> None:
         """Take over a host's shares, of the accounts that it has this host keep.
@@ -164,7 +174,7 @@
         host_id : str
             The lender.
         key : str
-            The reckoning by which it goes; one that is not known here lends nothing.
+            Its view of the holders; one that is not known here lends nothing.
         live : int
             Mask of the holders that it sees live; 0 lends nothing.
         until : float
@@ -174,21 +184,21 @@
         """
         self._pass_time(now)
         old = self._leases.get(host_id)
-        holders = self._reckonings.get(key)
+        holders = self._views.get(key)
         if holders is None or not live or host_id not in holders or until <= now:
             if old is not None:
                 del self._leases[host_id]
-                self._reckon_parts(now)
+                self._update_parts(now)
             return
         self._leases[host_id] = _Lease(holders, live, until)
         if old is None or old.live != live or old.holders is not holders:
-            self._reckon_parts(now)
+            self._update_parts(now)
 
     def give_up(self, now: float) -> None:
         """Keep nothing any more, before the lenders are told to lend elsewhere."""
         self._pass_time(now)
         self._leases.clear()
-        self._reckon_parts(now)
+        self._update_parts(now)
 
     def _pass_time(self, now: float) -> None:
         """End leases whose time has come, each at its own moment."""
@@ -197,9 +207,9 @@
             if lease.until > now:
                 return
             del self._leases[host_id]
-            self._reckon_parts(lease.until)
+            self._update_parts(lease.until)
 
-    def _reckon_parts(self, now: float) -> None:
+    def _update_parts(self, now: float) -> None:
         for account, bucket in self._buckets.items():
             self._fill(bucket, now)
             bucket.part = self._part(account)
@@ -296,16 +306,17 @@
                 self._fill(bucket, now)
                 for host in sorted(self._pay(bucket)):
                     yield host[0], self._receipt(account, bucket, host)
-            self._close_books(bucket, now)
-
-    def _close_books(self, bucket: _Bucket, now: float) -> None:
-        old = [
-            host
-            for host, book in bucket.books.items()
-            if now - book.used_at > BOOK_KEPT_S and host not in bucket.turns
-        ]
-        for host in old:
-            del bucket.books[host]
+        if now - self._closed_at >= CLOSE_EVERY_S:
+            self._closed_at = now
+            self._close_books(now)
+
+    def _close_books(self, now: float) -> None:
+        for bucket in self._buckets.values():
+            bucket.books = {
+                host: book
+                for host, book in bucket.books.items()
+                if now - book.used_at <= BOOK_KEPT_S or host in bucket.turns
+            }
 
     # Questions
 
--- a/lacewingcross/core/quota_ledger.py
+++ b/lacewingcross/core/quota_ledger.py
@@ -7,13 +7,13 @@
 for nobody, and while a keeper is being replaced requests go on.
 """
 
-from collections import deque
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from .quota import Quota, QuotaBound
 from .quota_keeper import Charge, Receipt
+from .quota_tab import Tab
 from .randomness import RandomSource
 
 # How long a request may wait for its keeper's word, in seconds: the farthest region's
@@ -64,40 +64,6 @@
     refused: int
 
 
-@dataclass(slots=True)
-class _Tab:
-    """Sums of one account, see `Charge`; `waiting` of those charged are undecided."""
-
-    quota: Quota
-    keeper: str | None = None
-    charged: int = 0
-    returned: int = 0
-    paid: int = 0
-    waiting: int = 0
-    told: tuple[int, int] = (0, 0)
-    # The most that any keeper was told; sums never go back behind it.
-    told_most: int = 0
-    told_at: float = float("-inf")
-    heard_at: float = float("-inf")
-    # When the keeper will pay the next open charge, as it said.
-    next_paid_at: float = float("-inf")
-    next_turn: float = float("-inf")
-    # When the requests were admitted that are not paid for.
-    unpaid: deque[float] = field(default_factory=deque)
-
-    @property
-    def open(self) -> int:
-        return self.charged - self.returned - self.paid
-
-    @property
-    def debt(self) -> int:
-        return self.open - self.waiting
-
-    def trim(self) -> None:
-        while len(self.unpaid) > max(0, self.debt):
-            self.unpaid.popleft()
-
-
 class QuotaLedger:
     """Admits requests of accounts on one host.
 
@@ -122,7 +88,7 @@
     def __init__(self, bound: QuotaBound, rng: RandomSource) -> None:
         self._bound = bound
         self._rng = rng
-        self._tabs: dict[str, _Tab] = {}
+        self._tabs: dict[str, Tab] = {}
         # The highest sums, charged and returned, of accounts that are gone.
         self._dropped = (0, 0)
         # Accounts of which something is yet to be told or paid.
@@ -148,14 +114,14 @@
         charged, returned = self._dropped
         self._dropped = (max(charged, tab.charged), max(returned, tab.returned))
 
-    def _new_tab(self, quota: Quota) -> _Tab:
+    def _new_tab(self, quota: Quota) -> Tab:
         """Return a tab whose sums are no lower than those of any that was dropped.
 
         Failure: an account loses its quota and gets it back, and its keeper has heard
         only of the last version. Lower sums look like old news to it.
         """
         charged, returned = self._dropped
-        return _Tab(quota, None, charged, returned, paid=charged - returned)
+        return Tab(quota, None, charged, returned, paid=charged - returned)
 
     def set_bound(self, bound: QuotaBound) -> None:
         """Take over what all hosts keep to."""
@@ -179,7 +145,7 @@
         """Return the accounts that have quotas."""
         return iter(self._tabs)
 
-    def _debt_most(self, tab: _Tab) -> int:
+    def _debt_most(self, tab: Tab) -> int:
         return self._bound.debt_each(tab.quota, self.holders) if self.holders else 0
 
     # Requests
@@ -195,7 +161,9 @@
             return Admission(Outcome.ADMITTED)
         self._age(tab, now)
         if tab.debt < self._debt_most(tab):
-            self._admit(account, tab, now)
+            tab.charged += 1
+            tab.note_admitted(now)
+            self._open.add(account)
             return self._outcome(tab, Outcome.ADMITTED, now)
         if tab.keeper is None or not self._may_wait(tab, tab.waiting, now):
             return self._outcome(tab, Outcome.REFUSED, now)
@@ -204,13 +172,7 @@
         self._open.add(account)
         return self._outcome(tab, Outcome.WAITING, now)
 
-    def _admit(self, account: str, tab: _Tab, now: float) -> None:
-        tab.charged += 1
-        if tab.debt > 0:
-            tab.unpaid.append(now)
-        self._open.add(account)
-
-    def _may_wait(self, tab: _Tab, ahead: int, now: float) -> bool:
+    def _may_wait(self, tab: Tab, ahead: int, now: float) -> bool:
         """Tell whether a request behind some others will have its turn in moments."""
         if ahead >= WAITERS_MOST:
             return False
@@ -219,7 +181,7 @@
             return True
         return soonest_s + ahead * self._apart_s(tab) <= WAIT_MOST_S
 
-    def _apart_s(self, tab: _Tab) -> float:
+    def _apart_s(self, tab: Tab) -> float:
         """Return how far apart credit comes for this host's callers, in seconds."""
         return self.callers_parts / tab.quota.rate
 
@@ -232,8 +194,7 @@
         while tab.waiting and tab.debt < self._debt_most(tab):
             tab.waiting -= 1
             admitted += 1
-            if tab.debt > 0:
-                tab.unpaid.append(now)
+            tab.note_admitted(now)
         refused = 0
         while tab.waiting and not self._may_wait(tab, tab.waiting - 1, now):
             self.give_up(account)
@@ -253,15 +214,8 @@
         if tab is not None and tab.charged - tab.returned > tab.waiting:
             self._take_back(account, tab)
 
-    def _take_back(self, account: str, tab: _Tab) -> None:
-        if tab.charged > tab.told_most:
-            # No keeper has heard of it.
-            tab.charged -= 1
-        else:
-            tab.returned += 1
-        tab.paid = min(tab.paid, tab.charged - tab.returned)
-        while len(tab.unpaid) > max(0, tab.debt):
-            tab.unpaid.pop()
+    def _take_back(self, account: str, tab: Tab) -> None:
+        tab.take_back()
         self._open.add(account)
 
     def refusal(self, account: str, now: float) -> Admission:
@@ -271,7 +225,7 @@
             return Admission(Outcome.REFUSED, self._bound.window_s)
         return self._outcome(tab, Outcome.REFUSED, now)
 
-    def _outcome(self, tab: _Tab, outcome: Outcome, now: float) -> Admission:
+    def _outcome(self, tab: Tab, outcome: Outcome, now: float) -> Admission:
         pause_s = self._turn_s(tab, now) if outcome is Outcome.REFUSED else 0.0
         return Admission(
             outcome,
@@ -282,7 +236,7 @@
             now - tab.heard_at,
         )
 
-    def _turn_s(self, tab: _Tab, now: float) -> float:
+    def _turn_s(self, tab: Tab, now: float) -> float:
         """Return when a refused caller should come back, in seconds.
 
         Failure: all who are refused in a second are told the same time, come back
@@ -299,16 +253,13 @@
         tab.next_turn = turn
         return turn - now
 
-    def _age(self, tab: _Tab, now: float) -> None:
+    def _age(self, tab: Tab, now: float) -> None:
         """Forgive debts that no window counts any more.
 
         Failure: no keeper can be reached. Without this, a host would run its debt once
         and refuse the account from then on.
         """
-        oldest = now - self._bound.window_s - DEBT_MARGIN_S
-        while tab.unpaid and tab.unpaid[0] < oldest:
-            tab.unpaid.popleft()
-            tab.paid += 1
+        tab.forgive(now - self._bound.window_s - DEBT_MARGIN_S)
 
     # Keepers
 
@@ -339,7 +290,7 @@
         tab = self._tabs.get(account)
         return max(0, tab.debt) if tab else 0
 
-    def _due(self, tab: _Tab, now: float) -> bool:
+    def _due(self, tab: Tab, now: float) -> bool:
         if now - tab.told_at >= TELL_AGAIN_S:
             return True
         if tab.told == (tab.charged, tab.returned):
@@ -355,9 +306,7 @@
         tab = self._tabs.get(receipt.account)
         if tab is None or tab.keeper != keeper or tab.returned != receipt.returned:
             return False
-        most = tab.charged - tab.returned
-        tab.paid = max(tab.paid, min(receipt.paid, most))
+        tab.pay(receipt.paid)
         tab.heard_at = now
         tab.next_paid_at = now + receipt.wait_s if receipt.wait_s else float("-inf")
-        tab.trim()
         return True
--- a/lacewingcross/core/quotas.py
+++ b/lacewingcross/core/quotas.py
@@ -181,7 +181,7 @@
         found = self.ledger.ask(account, at.now)
         if self.ledger.keeper(account) != self._roster.own.host_id:
             return found
-        self._charge_own(account, at)
+        self._charge_own(self.ledger.charge_of(account, at.now), at)
         if found.outcome is not Outcome.WAITING:
             return found
         decided = self.ledger.decided(account, at.now)
@@ -191,9 +191,9 @@
             return self.ledger.refusal(account, at.now)
         return found
 
-    def _charge_own(self, account: str, at: Times) -> None:
+    def _charge_own(self, charge: Charge, at: Times) -> None:
+        """Charge what this host runs for an account that it keeps itself."""
         own = self._roster.own.host_id
-        charge = self.ledger.charge_of(account, at.now)
         receipt = self.keeper.charge((own, 0), charge, at.boot)
         if receipt is not None:
             self.ledger.paid(own, receipt, at.now)
@@ -264,12 +264,10 @@
         own = self._roster.own.host_id
         told: dict[str, list[Charge]] = {}
         for keeper, charge in self.ledger.to_tell(at.now):
-            if keeper != own:
+            if keeper == own:
+                self._charge_own(charge, at)
+            else:
                 told.setdefault(keeper, []).append(charge)
-                continue
-            receipt = self.keeper.charge((own, 0), charge, at.boot)
-            if receipt is not None:
-                self.ledger.paid(own, receipt, at.now)
         for keeper, charges in told.items():
             for some in _in_parts(charges):
                 items = [(c.account, c.charged, c.returned, c.paid) for c in some]
--- a/lacewingcross/gateway/hearing.py
+++ b/lacewingcross/gateway/hearing.py
@@ -97,12 +97,10 @@
             self._take_hosts(info, message, now)
         elif isinstance(message, msg.ServerEnded | msg.RequestAnswered):
             self._gateway.crashes.heard(info.host_id, message)
-        elif isinstance(message, msg.QuotaCharges):
-            receipts = self._gateway.quota_desk.receipts(info, incarnation, message)
-            if receipts is not None:
-                self._send_to(info, receipts)
-        elif isinstance(message, msg.QuotaLease | msg.QuotaReceipts):
-            self._gateway.quota_desk.heard(info, incarnation, message)
+        elif isinstance(message, msg.QuotaMessage):
+            answer = self._gateway.quota_desk.heard(info, incarnation, message)
+            if answer is not None:
+                self._send_to(info, answer)
 
     def _take_alive(
         self, info: HostInfo, incarnation: int, message: msg.Alive, now: float
--- a/lacewingcross/gateway/quota_desk.py
+++ b/lacewingcross/gateway/quota_desk.py
@@ -131,22 +131,20 @@
 
     # Other hosts
 
-    def heard(self, info: HostInfo, incarnation: int, message: msg.Message) -> None:
-        """Take in what another host tells of quotas."""
+    def heard(
+        self, info: HostInfo, incarnation: int, message: msg.QuotaMessage
+    ) -> msg.QuotaReceipts | None:
+        """Take in what another host tells of quotas; return the answer, if any."""
         at = self._times()
         host = (info.host_id, incarnation)
+        if isinstance(message, msg.QuotaCharges):
+            return self._quotas.heard_charges(host, message, at)
         if isinstance(message, msg.QuotaLease):
             self._quotas.heard_lease(host, message, at)
-        elif isinstance(message, msg.QuotaReceipts):
-            for account in self._quotas.heard_receipts(info.host_id, message, at):
-                self._decide(account)
-
-    def receipts(
-        self, info: HostInfo, incarnation: int, message: msg.QuotaCharges
-    ) -> msg.QuotaReceipts | None:
-        """Take in what another host runs; return what of it is paid."""
-        host = (info.host_id, incarnation)
-        return self._quotas.heard_charges(host, message, self._times())
+            return None
+        for account in self._quotas.heard_receipts(info.host_id, message, at):
+            self._decide(account)
+        return None
 
     async def tell(self, send_to: SendTo) -> None:
         """Tell other hosts what is due until cancelled."""
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bench.quota_fleet import STEP_S, QuotaFleet, accounts_with
+from bench.quota_fleet import QuotaFleet, accounts_with, send_step
 from lacewingcross.core import quota_holders, quota_keeper, quotas
 from lacewingcross.core.active import active_hosts
 from lacewingcross.core.quota import Quota
@@ -18,23 +18,11 @@
 BOTH = {"small": SMALL, "large": LARGE}
 
 
-def poisson(rng, mean):
-    """Return a Poisson number; numpy's would be a dependency for one line."""
-    least, count, product = math.exp(-mean), 0, rng.random()
-    while product > least:
-        count += 1
-        product *= rng.random()
-    return count
-
-
 def load_of(rates, hosts=None):
     """Return callers that send at rates to all hosts alike, or to some."""
 
     def load(fleet):
-        names = sorted(hosts if hosts is not None else fleet.nodes)
-        for account, rate in rates.items():
-            for _ in range(poisson(fleet.rng, rate * STEP_S)):
-                fleet.request(fleet.rng.choice(names), account)
+        send_step(fleet, rates, sorted(hosts if hosts is not None else fleet.nodes))
 
     return load
 
@@ -275,14 +263,9 @@
         self.holders = quota_holders.Holders(info.host_id for info in chosen)
         self._rivals = frozenset()
 
-    monkeypatch.setattr(quota_holders.HolderWatch, "_reckon", living)
+    monkeypatch.setattr(quota_holders.HolderWatch, "_choose", living)
     review = quota_holders.HolderWatch.review
 
-    def always(self, now):
-        self._known = frozenset()
-        self.holders = quota_holders.Holders(self.holders.names)
-        review(self, now)
-
     def anew(self, now):
         self._known = None
         review(self, now)
@@ -292,11 +275,9 @@
 
 
 def test_debts_at_once_after_a_start_would_break_the_promise(monkeypatch):
-    owes = quotas.Quotas._may_owe
     monkeypatch.setattr(quotas.Quotas, "_may_owe", lambda self, now: self.watch.good)
     monkeypatch.setattr(quota_keeper, "_Bucket", full_bucket())
     assert broken_by(restart_all_twice)
-    monkeypatch.setattr(quotas.Quotas, "_may_owe", owes)
 
 
 def full_bucket():
