Logs tell when a server names a limit on its requests

Cause: of an answer's head only status, signature, "not run" and load were read, so logs could not tell a limit that nobody reads from one that each host keeps to by itself. The folder decodes the head's signals once into a typed value; it is read as soon as the head is there, whatever the status, but for 421, which another run answers. A line is written when it changes, not for each answer. No decision goes by it yet.

--- /dev/null
+++ b/lacewingcross/core/server_signals.py
@@ -0,0 +1,24 @@
+"""What a backend server says of itself in the head of one answer."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class ServerSignals:
+    """Signals of one run of a server, decoded.
+
+    Attributes
+    ----------
+    rate : float or None
+        Requests a second that it takes from all hosts together; None if it names no
+        limit.
+    unreadable : tuple of str
+        Names of fields that were there and could not be read. They say nothing: what
+        was believed before stays.
+    """
+
+    rate: float | None = None
+    unreadable: tuple[str, ...] = ()
+
+
+NO_SIGNALS = ServerSignals()
--- a/lacewingcross/gateway/attempting.py
+++ b/lacewingcross/gateway/attempting.py
@@ -25,6 +25,7 @@
 from .learning import AttemptResult, learn
 from .repeats import Repeats
 from .reply import Final, Reply
+from .signals import learn_signals
 
 # Bodies up to this size are read before a server is chosen: a caller that sends slowly
 # holds no slot, and the request can be sent to another server.
@@ -249,6 +250,7 @@
         if not req.body.whole:
             await run.send_rest()
         head = await self._patiently(run, request_id)
+        learn_signals(self._gateway, run.server, head)
         return await run.read_body(head)
 
     async def _patiently(self, run: AttemptRun, request_id: bytes) -> ResponseHead:
--- a/lacewingcross/platform/headers.py
+++ b/lacewingcross/platform/headers.py
@@ -13,3 +13,7 @@
 SIGNATURE = b"x-lacewingcross-response-signature"
 # "running,waiting,slots"
 LOAD = b"x-lacewingcross-server-load"
+# Requests a second that a server takes from all hosts together.
+SERVER_LIMIT = b"server-limit"
+# What a server says of itself, besides its load.
+SIGNALS = frozenset((SERVER_LIMIT,))
--- /dev/null
+++ b/tests/test_answer_signals.py
@@ -0,0 +1,64 @@
+"""What servers say of themselves in the heads of their answers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewingcross.core.server_signals import NO_SIGNALS
+from lacewingcross.platform.answer_signals import read_signals
+from tests.gateway_parts import answer, ask, fleet
+from tests.test_gateway import in_loop
+
+
+@pytest.mark.parametrize(("text", "rate"), [(b"7.6", 7.6), (b"0", 0.0), (b" 12 ", 12)])
+def test_a_limit_is_a_decimal_number(text, rate):
+    assert read_signals([(b"server-limit", text)]).rate == rate
+
+
+@pytest.mark.parametrize(
+    "text", [b"", b"-1", b"nan", b"inf", b"1e9", b"7,6", b"9" * 99]
+)
+def test_an_unreadable_limit_is_named_and_left_out(text):
+    said = read_signals([(b"server-limit", text)])
+    assert (said.rate, said.unreadable) == (None, ("limit",))
+
+
+@given(st.lists(st.tuples(st.sampled_from([b"server-limit", b"x"]), st.binary())))
+def test_any_head_can_be_read(headers):
+    read_signals(headers)
+
+
+def test_a_head_without_signals_says_nothing():
+    assert read_signals([(b"content-length", b"2")]) is NO_SIGNALS
+
+
+@in_loop
+async def test_signals_are_heard_in_answers_of_every_status():
+    for status in (200, 404, 500, 503):
+        async with fleet() as made:
+            made.configure()
+
+            async def names(received, writer, status=status):
+                extra = b"Server-Limit: 3.5\r\n"
+                writer.write(answer(received.request_id, status=status, extra=extra))
+
+            await made.add_server(names)
+            app = await made.ready(await made.add_host())
+            await ask(app, "/safe/a")
+            (server,) = app.gateway.steering.placement.known.servers.values()
+            assert server.said.rate == 3.5
+
+
+@in_loop
+async def test_signals_of_another_run_at_the_same_address_do_not_count():
+    async def misdirected(received, writer):
+        extra = b"Server-Limit: 3.5\r\n"
+        writer.write(answer(received.request_id, status=421, extra=extra))
+
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(misdirected)
+        app = await made.ready(await made.add_host())
+        await ask(app, "/safe/a")
+        (server,) = app.gateway.steering.placement.known.servers.values()
+        assert server.said is NO_SIGNALS
