--- a/lacewingcross/core/rate_limits.py
+++ b/lacewingcross/core/rate_limits.py
@@ -24,6 +24,8 @@
 # Hosts without a share believe a named rate for so long, in seconds. Then they send one
 # request each by turns, to see whether it still holds.
 BELIEVED_S = 30.0
+# Turn of a host that does not serve: it sends nothing to servers with a limit.
+NEVER = -1
 # What a server said is remembered for so long after it has changed its mind, or has
 # gone, in seconds: another host may tell later of what was said before.
 REMEMBERED_S = 60.0
@@ -214,7 +216,7 @@
         place = order.index(self._own) if serves else len(order)
         shares = serves and place < most
         limit.share = rate / min(most, len(order)) if shares else 0.0
-        limit.turn = max(0, place - most)
+        limit.turn = place - most if serves else NEVER
         limit.turns = max(1, len(order) - most + 1)
 
     def forget_old(self, now: float, known: Collection[str]) -> None:
