--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -155,6 +155,17 @@
     return act
 
 
+async def _server_limit(world: World, fault: Fault) -> None:
+    """Let a server name a limit far below what it gets."""
+    server = _server(world, fault)
+    if server.mood.limit is not None:
+        return
+    server.mood.limit = 1.0 + fault.target % 5
+    await asyncio.sleep(fault.for_s)
+    server.mood.limit = None
+    world.ledger.signals.by_server[server.server_id].limit_ended = world.now()
+
+
 # The store and the operators
 
 
@@ -223,6 +234,7 @@
     "server-garble": _mood(garbled=0.3),
     "server-slow": _mood(slow=5.0),
     "server-shed": _mood(shed=True),
+    "server-limit": _server_limit,
     "store-busy": _store(down="busy"),
     "store-many": _store(down="many"),
     "store-reset": _store(down="reset"),
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -7,6 +7,7 @@
 
 from .accounts import USUAL, broken_accounts, broken_keys, broken_quota
 from .findings import Broken
+from .signals import SignalLedger, broken_limits
 
 # The promises of the deployment that the soak settings give, in seconds.
 DRAIN_S = 2.5
@@ -125,6 +126,7 @@
     core: Spans = field(default_factory=Spans)
     own_lags: list[tuple[float, float]] = field(default_factory=list)
     ended_alone: list[tuple[float, int, int]] = field(default_factory=list)
+    signals: SignalLedger = field(default_factory=SignalLedger)
     calm_from: float = float("inf")
     calm_to: float = float("inf")
     unjudged: int = 0
@@ -143,6 +145,7 @@
         found += broken_accounts(self)
         found += broken_keys(self)
         found += broken_quota(self)
+        found += broken_limits(self)
         found += [
             Broken("ENDED", at, f"host {host} ended by itself with {code}")
             for at, host, code in self.ended_alone
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -35,6 +35,9 @@
     "server-slow",
     "server-shed",
 )
+# What servers ask for in their answers, drawn apart from the faults.
+SIGNAL_KINDS = ("server-limit",)
+SIGNALS_PER_FAULT = 0.25
 FLEET_KINDS = (
     "store-busy",
     "store-many",
@@ -80,8 +83,19 @@
     per_s : float
         Faults a second, on average.
     """
-    rng = random.Random(seed)
-    return sorted(_series(rng, length_s, per_s), key=lambda fault: fault.at)
+    faults = [*_series(random.Random(seed), length_s, per_s)]
+    rng = random.Random(f"signals-{seed}")
+    faults += _signals(rng, length_s, per_s * SIGNALS_PER_FAULT)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def _signals(rng: random.Random, length_s: float, per_s: float) -> Iterator[Fault]:
+    """Yield at least one signal of each kind."""
+    for number in range(max(len(SIGNAL_KINDS), round(length_s * per_s))):
+        kind = SIGNAL_KINDS[number % len(SIGNAL_KINDS)]
+        at = CALM_S + rng.uniform(0.0, length_s / 2)
+        for_s = rng.uniform(LONGEST_S, 2 * LONGEST_S)
+        yield Fault(at, kind, rng.randrange(1 << 16), for_s)
 
 
 def _series(rng: random.Random, length_s: float, per_s: float) -> Iterator[Fault]:
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -12,6 +12,7 @@
 from lacewingcross.platform import headers as ph
 
 from .ledger import BAD_TARGET, Ledger, Run, signature
+from .signals import Reached
 
 SLOTS = 4
 # Requests that wait for a slot, as many times the slots as the users' servers keep.
@@ -32,6 +33,8 @@
     garbled: float = 0.0
     shed: bool = False
     dark: bool = False
+    # Requests a second that it names as its limit.
+    limit: float | None = None
 
 
 @dataclass(slots=True)
@@ -102,11 +105,13 @@
             await asyncio.sleep(DARK_S)
         expected = hd.find(headers, ph.EXPECTED_INCARNATION)
         if expected and expected != self.server_id:
-            await self._refuse(exchange, 421)
+            await exchange.respond(421, [(ph.NOT_RUN, b"1")], b"")
             return
+        asked = self.ledger.signals.by_server[self.server_id]
+        asked.reached.append(Reached(self.now(), self._host_of(request_id)))
         body = await read_body(exchange, MAX_BODY)
         if self.mood.shed or (self._slots.locked() and self._waiting >= QUEUE):
-            await self._refuse(exchange, 503)
+            await self._refuse(exchange, request_id)
             return
         self._waiting += 1
         try:
@@ -118,8 +123,21 @@
         finally:
             self._slots.release()
 
-    async def _refuse(self, exchange: Exchange, status: int) -> None:
-        await exchange.respond(status, [(ph.NOT_RUN, b"1")], b"")
+    def _host_of(self, request_id: str) -> int:
+        return self.ledger.sent[request_id].host
+
+    def _signals(self, request_id: str) -> hd.HeaderList:
+        """Return what the server asks for in an answer, and note it."""
+        if self.mood.limit is None:
+            return []
+        asked = self.ledger.signals.by_server[self.server_id]
+        word = (self.now(), self._host_of(request_id), self.mood.limit)
+        asked.limits.append(word)
+        return [(ph.SERVER_LIMIT, str(self.mood.limit).encode())]
+
+    async def _refuse(self, exchange: Exchange, request_id: str) -> None:
+        fields = [(ph.NOT_RUN, b"1"), *self._signals(request_id)]
+        await exchange.respond(503, fields, b"")
 
     async def _run(self, exchange: Exchange, request_id: str, body: bytes) -> None:
         if exchange.gone:
@@ -158,6 +176,7 @@
             (ph.REQUEST_ID, request_id.encode()),
             (ph.SIGNATURE, signed.encode()),
             (ph.LOAD, load.encode()),
+            *self._signals(request_id),
         ]
         if self.rng.random() < 0.5:
             fields.append((hd.CONTENT_LENGTH, str(len(body)).encode()))
--- /dev/null
+++ b/bench/soak/signals.py
@@ -0,0 +1,74 @@
+"""What servers of the soak ask for in their answers, and whether hosts kept to it."""
+
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from lacewingcross.core.rate_limits import RateBound
+
+from .findings import Broken
+
+if TYPE_CHECKING:
+    from .ledger import Ledger
+
+# The promises count from so long after a server first names a limit, in seconds.
+STABLE_S = 3.0
+# A host is bound from so long after it had such an answer, in seconds.
+HEARD_S = 0.5
+BOUND = RateBound()
+
+
+@dataclass(slots=True, frozen=True)
+class Reached:
+    """A request that reached a server, run or not, and the host that sent it."""
+
+    at: float
+    host: int
+
+
+@dataclass(slots=True)
+class Asked:
+    """What one server has asked for, and what reached it."""
+
+    reached: list[Reached] = field(default_factory=list)
+    # Time, host and rate of each answer that named a limit.
+    limits: list[tuple[float, int, float]] = field(default_factory=list)
+    # When it stopped to name one.
+    limit_ended: float = float("inf")
+
+
+@dataclass(slots=True)
+class SignalLedger:
+    """What all servers have asked for."""
+
+    by_server: dict[str, Asked] = field(default_factory=lambda: defaultdict(Asked))
+
+
+def broken_limits(ledger: "Ledger") -> Iterator[Broken]:
+    """Yield the first window of each server in which it got more than its limit."""
+    for server_id, asked in ledger.signals.by_server.items():
+        if asked.limits:
+            yield from _over_limit(ledger, server_id, asked)
+
+
+def _over_limit(ledger: "Ledger", server_id: str, asked: Asked) -> Iterator[Broken]:
+    first = asked.limits[0][0]
+    told: dict[int, float] = {}
+    for at, host, _ in asked.limits:
+        told.setdefault(host, at)
+    times = [
+        item.at
+        for item in asked.reached
+        if first + STABLE_S <= item.at < asked.limit_ended
+        and item.at - told.get(item.host, item.at) >= HEARD_S
+        and not ledger.hosts[item.host].near(told[item.host], item.at)
+    ]
+    most = BOUND.most(max(rate for *_, rate in asked.limits))
+    for index, at in enumerate(times):
+        count = bisect_left(times, at + BOUND.window_s) - index
+        if count > most:
+            text = f"{server_id}: {count} requests within a window, allowed {most:.0f}"
+            yield Broken("LIMIT", at, text)
+            return
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -19,6 +19,7 @@
     signature,
 )
 from bench.soak.schedule import draw
+from bench.soak.signals import Reached
 
 SERVER = "s1"
 
@@ -289,3 +290,30 @@
     made.accepted = {1: 0.0, 2: 10.0}
     keyed_reply(made, status, at=9.0 - DEADLINE_S)
     assert rules(made) == ([] if late else ["KEYS"])
+
+
+def limited(count, *, hosts=(0, 1)):
+    """Return a ledger in which a server that names 2 a second got so many in 4 s."""
+    made = ledger()
+    asked = made.signals.by_server[SERVER]
+    for host in hosts:
+        asked.limits.append((10.0, host, 2.0))
+    for number in range(count):
+        asked.reached.append(
+            Reached(14.0 + number * 3.9 / count, hosts[number % len(hosts)])
+        )
+    return made
+
+
+def test_more_than_a_servers_limit_from_hosts_that_it_told_is_found():
+    assert [item.rule for item in limited(18).broken()] == ["LIMIT"]
+    assert limited(17).broken() == []
+
+
+def test_requests_of_hosts_that_were_cut_or_not_told_do_not_count_to_a_limit():
+    made = limited(18)
+    made.hosts[0].add(12.0, 13.0, "peer-path-cut")
+    assert made.broken() == []
+    made = limited(18)
+    made.signals.by_server[SERVER].limits.pop()
+    assert made.broken() == []
