--- a/lacewingcross/cli/main.py
+++ b/lacewingcross/cli/main.py
@@ -13,6 +13,7 @@
 from .examples import example
 from .messages import messages
 from .reports import report
+from .servers import servers
 from .status import status
 
 EXIT_USER_ERROR = 1
@@ -39,6 +40,7 @@
     "demo": demo,
     "messages": messages,
     "accounts": accounts,
+    "servers": servers,
 }
 
 
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -31,6 +31,7 @@
 from .peers import Peers
 from .quarantine_store import QuarantineStore
 from .settings import GatewaySettings
+from .signals import measure_signals
 
 INCARNATION_BITS = 31
 TICK_S = 0.1
@@ -218,9 +219,7 @@
         metrics.set_gauge("hosts.live", len(gateway.roster.live(now)))
         metrics.set_gauge("hosts.active", len(gateway.roster.active))
         metrics.set_gauge("servers.known", len(placement.known.servers))
-        rates = placement.eligibility.rates
-        metrics.set_gauge("servers.limited", sum(1 for _ in rates.in_force()))
-        metrics.set_gauge("servers.passed-over.limit", rates.passed_over)
+        measure_signals(gateway)
         quarantine = gateway.crashes.ledger.quarantine
         metrics.set_gauge("requests.quarantined", len(quarantine))
         gateway.quota_desk.measure()
--- a/lacewingcross/gateway/signals.py
+++ b/lacewingcross/gateway/signals.py
@@ -58,3 +58,17 @@
         source=source,
         age_ms=int(1000 * age_s),
     )
+
+
+def measure_signals(gateway: Gateway) -> None:
+    """Set the gauges of servers that ask for something."""
+    rates = gateway.steering.placement.eligibility.rates
+    limits = {server[0]: limit for server, limit in rates.in_force()}
+    metrics = gateway.metrics
+    metrics.set_gauge("servers.passed-over.limit", rates.passed_over)
+    metrics.replace_gauges(
+        "servers.limit.", {name: limit.rate for name, limit in limits.items()}
+    )
+    metrics.replace_gauges(
+        "servers.limit-here.", {name: limit.share for name, limit in limits.items()}
+    )
--- a/lacewingcross/metrics.py
+++ b/lacewingcross/metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms, rendered as text for operators."""
 
 from collections import Counter
+from collections.abc import Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -31,6 +32,13 @@
         """Set the gauge `name`."""
         self.gauges[name] = value
 
+    def replace_gauges(self, prefix: str, values: Mapping[str, float]) -> None:
+        """Set the gauges whose names begin with `prefix`, and drop all others of it."""
+        for name in [name for name in self.gauges if name.startswith(prefix)]:
+            del self.gauges[name]
+        for name, value in values.items():
+            self.gauges[prefix + name] = value
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in `seconds` under `name`."""
         hist = self.histograms.get(name)
