One gate in the way of each send

What servers ask for becomes one question (`core/send_gate.py`), and what hosts tell each other of it one list on a stream. Behaviour is unchanged.

--- a/lacewingcross/core/eligibility.py
+++ b/lacewingcross/core/eligibility.py
@@ -7,8 +7,8 @@
 from .cold import share_of
 from .duties import HOSTS_UNLISTED
 from .evidence import FailureShare
-from .rate_limits import RateLimits
 from .routes import Service
+from .send_gate import SendGate
 
 
 class Eligibility:
@@ -20,8 +20,8 @@
         Region of this host.
     cold_over, cold_slack : float
         Bound on requests to cold servers, see `share_of`.
-    rates : RateLimits
-        The rates that servers have named.
+    gate : SendGate
+        What servers ask for in their answers.
     """
 
     __slots__ = (
@@ -31,12 +31,12 @@
         "_failures",
         "_region",
         "_services",
-        "rates",
+        "gate",
         "region_part",
     )
 
     def __init__(
-        self, region: str, cold_over: float, cold_slack: float, rates: RateLimits
+        self, region: str, cold_over: float, cold_slack: float, gate: SendGate
     ) -> None:
         self._region = region
         self._cold_over = cold_over
@@ -44,7 +44,7 @@
         self._evacuated: frozenset[str] = frozenset()
         self._failures: dict[str, FailureShare] = {}
         self._services: dict[str, Service] = {}
-        self.rates = rates
+        self.gate = gate
         # This host's part of what its region's hosts may send to a cold server.
         self.region_part = 1.0 / HOSTS_UNLISTED
 
@@ -90,7 +90,7 @@
         Asked when it is chosen, and again when the first byte is about to be sent: a
         connection or a body may have been waited for meanwhile.
         """
-        return self.rates.may_send(server.entry.incarnation, now, urgent=ask.urgent)
+        return self.gate.may_send(server.entry.incarnation, now, urgent=ask.urgent)
 
     def wait_s(self, servers: Iterable[Server], ask: Ask, now: float) -> float:
         """Return when the first of some servers allows a request, in seconds.
@@ -99,7 +99,7 @@
         """
         return min(
             (
-                self.rates.wait_s(server.entry.incarnation, now)
+                self.gate.wait_s(server.entry.incarnation, now)
                 for server in servers
                 if self._usable(server, ask, now, desperate=True)
             ),
--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -18,8 +18,8 @@
 from .known_servers import KnownServers
 from .policy import Policy
 from .randomness import RandomSource
-from .rate_limits import RateLimits
 from .reserved import Reserved, point_of
+from .send_gate import SendGate
 from .work_times import WorkTimes
 
 # Servers that a key may use without being known there. With one, a key whose server is
@@ -63,8 +63,8 @@
         Bound on requests to cold servers, see `share_of`.
     policy : Policy, optional
         Mechanisms that are switched off.
-    rates : RateLimits, optional
-        The rates that servers have named.
+    gate : SendGate, optional
+        What servers ask for in their answers.
     """
 
     __slots__ = (
@@ -73,6 +73,7 @@
         "_rng",
         "eligibility",
         "expectations",
+        "gate",
         "known",
         "reserved",
     )
@@ -85,13 +86,13 @@
         cold_over: float,
         cold_slack: float,
         policy: Policy | None = None,
-        rates: RateLimits | None = None,
+        gate: SendGate | None = None,
     ) -> None:
         self._policy = policy or Policy()
         self._homes = Homes(region if self._policy.local_home else "")
         self._rng = rng
-        rates = rates or RateLimits("")
-        self.eligibility = Eligibility(region, cold_over, cold_slack, rates)
+        self.gate = gate or SendGate("")
+        self.eligibility = Eligibility(region, cold_over, cold_slack, self.gate)
         self.expectations = Expectations()
         self.known = KnownServers(region_of, self._homes)
         self.reserved = Reserved()
@@ -255,7 +256,7 @@
         """Count an attempt of which the first byte is sent, if it still may be sent."""
         if not self.eligibility.may_send(choice.server, choice.ask, now):
             return False
-        self.eligibility.rates.sent(choice.server.entry.incarnation, now)
+        self.gate.sent(choice.server.entry.incarnation, now)
         return True
 
     def ended(self, server: Server) -> None:
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -15,9 +15,9 @@
 from ..core.duties import hosts_that_serve, part_of_fleet, part_of_region
 from ..core.membership import HostInfo
 from ..core.placement import Placement
-from ..core.rate_limits import RateLimits
 from ..core.replica import Kind
 from ..core.roster import Roster
+from ..core.send_gate import SendGate
 from ..core.steering import Steering
 from ..errors import SettingsError
 from ..host.supervisor import Child, Supervisor, run_until_stopped
@@ -108,7 +108,7 @@
             bounds.cold_over,
             bounds.cold_slack,
             cfg.policy,
-            RateLimits(cfg.host_id),
+            SendGate(cfg.host_id),
         )
         steering = Steering(
             placement, ObjectDecoder(), rng, bounds.retry_ratio, bounds.retry_extra
@@ -202,7 +202,7 @@
         steering.hosts = len(roster.active.keys() | {roster.own.host_id})
         steering.set_part(part_of_fleet(roster, now))
         placement.eligibility.region_part = part_of_region(roster, now)
-        rates = placement.eligibility.rates
+        rates = placement.gate.rates
         rates.set_hosts(hosts_that_serve(roster, now), now)
         rates.forget_old(now, placement.known.servers.keys())
         placement.reserved.review(servers, now)
--- a/lacewingcross/gateway/link.py
+++ b/lacewingcross/gateway/link.py
@@ -33,8 +33,8 @@
 
     `told` and `told_hosts` are the counts and the hosts that were told last (`told` is
     None if all are to be told), `whole_at` is when all counts were told last,
-    `told_news` the number of the newest piece of news and `told_limits` the version of
-    servers' limits that were told (None on a new stream), and
+    `told_news` the number of the newest piece of news and `told_signals` the version of
+    what servers say that was told (None on a new stream), and
     `told_as_active` whether the host was active then; `needed_at` is when there was
     last a reason to speak to it.
     """
@@ -50,7 +50,7 @@
         "told_as_active",
         "told_at",
         "told_hosts",
-        "told_limits",
+        "told_signals",
         "told_news",
         "whole_at",
     )
@@ -67,7 +67,7 @@
         self.told_hosts: msg.KnownHosts | None = None
         self.told_as_active = False
         self.told_news: int | None = None
-        self.told_limits: int | None = None
+        self.told_signals: int | None = None
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def send(self, message: msg.Message) -> None:
@@ -131,7 +131,7 @@
         self.told = None
         self.told_hosts = None
         self.told_news = None
-        self.told_limits = None
+        self.told_signals = None
         try:
             for message in self._greeting(self):
                 frame = encode(message)
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -96,7 +96,7 @@
     def tell_news(self) -> None:
         """Tell each host what it does not know yet of servers."""
         self._telling.tell_news()
-        self._telling.tell_limits()
+        self._telling.tell_signals()
 
     # Links
 
--- a/lacewingcross/gateway/signals.py
+++ b/lacewingcross/gateway/signals.py
@@ -25,7 +25,7 @@
     for name in said.unreadable:
         gateway.metrics.count(f"signals.unreadable.{name}")
     if "limit" not in said.unreadable:
-        rates = gateway.steering.placement.eligibility.rates
+        rates = gateway.steering.placement.gate.rates
         incarnation = server.entry.incarnation
         if rates.heard(incarnation, said.rate, asked_at, gateway.now()):
             _log_limit(gateway, incarnation, said.rate, OWN)
@@ -33,7 +33,7 @@
 
 def take_told(gateway: Gateway, source: str, message: msg.ServerLimits) -> None:
     """Take in what another host has heard of servers' limits."""
-    rates = gateway.steering.placement.eligibility.rates
+    rates = gateway.steering.placement.gate.rates
     now = gateway.now()
     for server_id, born_ms, rate, age_s in message.items:
         said = rate if rate >= 0.0 else None
@@ -48,7 +48,7 @@
     source: str,
     age_s: float = 0.0,
 ) -> None:
-    here = gateway.steering.placement.eligibility.rates.share_of(server)
+    here = gateway.steering.placement.gate.rates.share_of(server)
     logs.event(
         "server-limit",
         server=server[0],
@@ -62,7 +62,7 @@
 
 def measure_signals(gateway: Gateway) -> None:
     """Set the gauges of servers that ask for something."""
-    rates = gateway.steering.placement.eligibility.rates
+    rates = gateway.steering.placement.gate.rates
     limits = {server[0]: limit for server, limit in rates.in_force()}
     metrics = gateway.metrics
     metrics.set_gauge("servers.passed-over.limit", rates.passed_over)
--- a/lacewingcross/gateway/telling.py
+++ b/lacewingcross/gateway/telling.py
@@ -7,9 +7,9 @@
 from ..core.crash_news import Piece, should_pass_on
 from ..core.crashes import CrashLedger
 from ..core.membership import member_fields
-from ..core.rate_limits import RateLimits
 from ..core.replica import Kind
 from ..core.roster import ALIVE_EVERY_S
+from ..core.send_gate import SendGate
 from ..wire import PROTOCOL, encode
 from .context import Gateway
 from .link import Link
@@ -166,24 +166,22 @@
                     link.send_frame(*frames[piece.number])
                 link.told_news = news.newest
 
-    def tell_limits(self) -> None:
-        """Tell each host what this one has heard of servers' limits, when it is new."""
-        limits = self._gateway.steering.placement.eligibility.rates
-        if not limits.version:
+    def tell_signals(self) -> None:
+        """Tell each host what this one has heard servers say, when it is new."""
+        gate = self._gateway.steering.placement.gate
+        if not gate.version:
             return
-        frames: list[bytes] = []
+        frames: list[tuple[bytes, type[msg.Message]]] = []
         for link in self._links.values():
-            if link.told_limits == limits.version:
+            if link.told_signals == gate.version:
                 continue
-            link.told_limits = limits.version
+            link.told_signals = gate.version
             frames = frames or [
-                encode(message) for message in limits_messages(limits, self._now())
+                (encode(message), type(message))
+                for message in signal_messages(gate, self._gateway.now())
             ]
-            for frame in frames:
-                link.send_frame(frame, msg.ServerLimits)
-
-    def _now(self) -> float:
-        return self._gateway.now()
+            for frame, kind in frames:
+                link.send_frame(frame, kind)
 
     def _pieces_for(self, host_id: str, link: Link) -> Iterator[Piece]:
         active = self._gateway.roster.active
@@ -208,11 +206,11 @@
         yield server_id, 0
 
 
-def limits_messages(limits: RateLimits, now: float) -> Iterator[msg.ServerLimits]:
-    """Yield the messages that tell what a host has heard of servers' limits."""
+def signal_messages(gate: SendGate, now: float) -> Iterator[msg.Message]:
+    """Yield the messages that tell what a host has heard servers say."""
     items = [
         (*server, -1.0 if limit.rate is None else limit.rate, max(0.0, now - limit.at))
-        for server, limit in limits.own_words()
+        for server, limit in gate.rates.own_words()
     ]
     for first in range(0, len(items), msg.SERVERS_MOST):
         yield msg.ServerLimits(items[first : first + msg.SERVERS_MOST])
--- a/tests/test_answer_signals.py
+++ b/tests/test_answer_signals.py
@@ -34,7 +34,7 @@
 
 def rate_of(app):
     """Return the rate that a host believes of any server, None for no limit."""
-    rates = app.gateway.steering.placement.eligibility.rates
+    rates = app.gateway.steering.placement.gate.rates
     return next((limit.rate for _, limit in rates.in_force()), None)
 
 
--- a/tests/test_rate_limits_gateway.py
+++ b/tests/test_rate_limits_gateway.py
@@ -72,7 +72,7 @@
 
 def limits_at(app):
     """Return the rates that a host believes, by server id."""
-    rates = app.gateway.steering.placement.eligibility.rates
+    rates = app.gateway.steering.placement.gate.rates
     return {server[0]: limit.rate for server, limit in rates.in_force()}
 
 
@@ -128,7 +128,7 @@
         servers = [await made.add_server(answers_at_once) for _ in range(2)]
         (app,) = await hosts_ready(made, 1)
         await until(lambda: len(app.gateway.steering.placement.known.servers) == 2)
-        app.gateway.steering.placement.eligibility.rates = OvertakenOnce("host-0")
+        app.gateway.steering.placement.gate.rates = OvertakenOnce("host-0")
         got = await ask(app, "/unsafe/a", method="POST", body=b"x")
         assert got.status == 200
         assert sum(len(server.requests) for server in servers) == 1
