--- a/lacewingcross/core/server_signals.py
+++ b/lacewingcross/core/server_signals.py
@@ -12,12 +12,15 @@
     rate : float or None
         Requests a second that it takes from all hosts together; None if it names no
         limit.
+    leaving : bool
+        Whether it leaves: it ends soon and wants nothing more.
     unreadable : tuple of str
         Names of fields that were there and could not be read. They say nothing: what
         was believed before stays.
     """
 
     rate: float | None = None
+    leaving: bool = False
     unreadable: tuple[str, ...] = ()
 
 
--- a/lacewingcross/gateway/signals.py
+++ b/lacewingcross/gateway/signals.py
@@ -24,6 +24,13 @@
     said = read_signals(head.headers)
     for name in said.unreadable:
         gateway.metrics.count(f"signals.unreadable.{name}")
+    if said.leaving:
+        gateway.metrics.count("signals.leaving")
+        logs.event(
+            "server-leaving",
+            server=server.entry.server_id,
+            born_ms=server.entry.born_ms,
+        )
     if "limit" not in said.unreadable:
         rates = gateway.steering.placement.gate.rates
         incarnation = server.entry.incarnation
--- a/lacewingcross/platform/answer_signals.py
+++ b/lacewingcross/platform/answer_signals.py
@@ -29,7 +29,8 @@
         rate = _decimal(found[ph.SERVER_LIMIT])
         if rate is None:
             unreadable.append("limit")
-    return ServerSignals(rate, tuple(unreadable))
+    leaving = found.get(ph.SERVER_LEAVING, b"0").strip() != b"0"
+    return ServerSignals(rate, leaving, tuple(unreadable))
 
 
 def _decimal(value: bytes) -> float | None:
--- a/lacewingcross/platform/headers.py
+++ b/lacewingcross/platform/headers.py
@@ -15,5 +15,7 @@
 LOAD = b"x-lacewingcross-server-load"
 # Requests a second that a server takes from all hosts together.
 SERVER_LIMIT = b"server-limit"
+# Present when a server is about to end.
+SERVER_LEAVING = b"server-leaving"
 # What a server says of itself, besides its load.
-SIGNALS = frozenset((SERVER_LIMIT,))
+SIGNALS = frozenset((SERVER_LIMIT, SERVER_LEAVING))
--- a/tests/test_answer_signals.py
+++ b/tests/test_answer_signals.py
@@ -23,7 +23,18 @@
     assert (said.rate, said.unreadable) == (None, ("limit",))
 
 
-@given(st.lists(st.tuples(st.sampled_from([b"server-limit", b"x"]), st.binary())))
+@pytest.mark.parametrize(("text", "leaving"), [(b"1", True), (b"0", False)])
+def test_a_server_that_leaves_says_so(text, leaving):
+    assert read_signals([(b"server-leaving", text)]).leaving is leaving
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from([b"server-limit", b"server-leaving", b"x"]), st.binary()
+        )
+    )
+)
 def test_any_head_can_be_read(headers):
     read_signals(headers)
 
