A server's own word that it leaves counts at once, at all hosts

Cause: only the store's word counted. The header by which a server says the same in each answer was read nowhere.

No entry of the store and no waiting request is needed for it, so it was neither undone nor late.

Why this holds: the first word of a run counts for good, whatever the store says, and is told to all hosts. The gate is asked when a server is chosen and before the first byte. Another run of the server comes under another incarnation.

--- a/lacewingcross/cli/servers.py
+++ b/lacewingcross/cli/servers.py
@@ -3,16 +3,16 @@
 from .metrics_page import fetch_page, figures_by_name
 from .output import Output, print_rows
 
-HEAD = ("server", "limit a second", "of it here")
-COLUMNS = ("servers.limit.", "servers.limit-here.")
+HEAD = ("server", "limit a second", "of it here", "leaves")
+COLUMNS = ("servers.limit.", "servers.limit-here.", "servers.leaving.")
 
-Row = tuple[str, float, float]
+Row = tuple[str, float, float, float]
 
 
 def servers(*, url: str, output: Output = "table") -> None:
-    """Show the backend servers that name a limit on their requests, at one host.
+    """Show the backend servers that ask for something in their answers, at one host.
 
-    `of it here` is the host's own share of the limit.
+    `of it here` is the host's own share of the limit; `leaves` is by a server's word.
 
     Example: lacewingcross servers --url http://10.1.0.34:9464/metrics
 
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -317,6 +317,12 @@
     ]
 
 
+class ServersLeaving(_Message, tag=29):
+    """Runs of servers that have said to the sender that they leave: id, `born_ms`."""
+
+    servers: Annotated[list[tuple[str, Sum]], Meta(max_length=SERVERS_MOST)]
+
+
 QuotaMessage = QuotaLease | QuotaCharges | QuotaReceipts
 
 Message = (
@@ -345,5 +351,6 @@
     | ServerEnded
     | RequestAnswered
     | ServerLimits
+    | ServersLeaving
     | QuotaMessage
 )
--- a/lacewingcross/core/send_gate.py
+++ b/lacewingcross/core/send_gate.py
@@ -6,6 +6,7 @@
 """
 
 from .backend_state import Incarnation
+from .departures import Departures
 from .rate_limits import RateLimits
 
 
@@ -18,18 +19,21 @@
         This host.
     """
 
-    __slots__ = ("rates",)
+    __slots__ = ("departures", "rates")
 
     def __init__(self, host_id: str) -> None:
+        self.departures = Departures()
         self.rates = RateLimits(host_id)
 
     @property
     def version(self) -> int:
         """Return what grows whenever other hosts have to be told something."""
-        return self.rates.version
+        return self.departures.version + self.rates.version
 
     def may_send(self, server: Incarnation, now: float, *, urgent: bool) -> bool:
         """Tell whether a request may go to a run of a server."""
+        if not self.departures.may_send(server):
+            return False
         return self.rates.may_send(server, now, urgent=urgent)
 
     def sent(self, server: Incarnation, now: float) -> None:
@@ -41,4 +45,6 @@
 
         Infinity if that is not known.
         """
+        if self.departures.leaves(server):
+            return float("inf")
         return self.rates.wait_s(server, now)
--- a/lacewingcross/gateway/hearing.py
+++ b/lacewingcross/gateway/hearing.py
@@ -98,7 +98,7 @@
             self._take_hosts(info, message, now)
         elif isinstance(message, msg.ServerEnded | msg.RequestAnswered):
             self._gateway.crashes.heard(info.host_id, message)
-        elif isinstance(message, msg.ServerLimits):
+        elif isinstance(message, msg.ServerLimits | msg.ServersLeaving):
             take_told(self._gateway, info.host_id, message)
         elif isinstance(message, msg.QuotaMessage):
             answer = self._gateway.quota_desk.heard(info, incarnation, message)
--- a/lacewingcross/gateway/signals.py
+++ b/lacewingcross/gateway/signals.py
@@ -24,22 +24,30 @@
     said = read_signals(head.headers)
     for name in said.unreadable:
         gateway.metrics.count(f"signals.unreadable.{name}")
-    if said.leaving:
-        gateway.metrics.count("signals.leaving")
-        logs.event(
-            "server-leaving",
-            server=server.entry.server_id,
-            born_ms=server.entry.born_ms,
-        )
-    if "limit" not in said.unreadable:
-        rates = gateway.steering.placement.gate.rates
-        incarnation = server.entry.incarnation
-        if rates.heard(incarnation, said.rate, asked_at, gateway.now()):
-            _log_limit(gateway, incarnation, said.rate, OWN)
+    gate = gateway.steering.placement.gate
+    incarnation = server.entry.incarnation
+    if said.leaving and gate.departures.heard(incarnation):
+        _log_leaving(incarnation, OWN)
+    if "limit" in said.unreadable:
+        return
+    if gate.rates.heard(incarnation, said.rate, asked_at, gateway.now()):
+        _log_limit(gateway, incarnation, said.rate, OWN)
+
+
+def take_told(
+    gateway: Gateway, source: str, message: msg.ServerLimits | msg.ServersLeaving
+) -> None:
+    """Take in what another host has heard servers say."""
+    if isinstance(message, msg.ServersLeaving):
+        departures = gateway.steering.placement.gate.departures
+        for server in message.servers:
+            if departures.told(server):
+                _log_leaving(server, source)
+    else:
+        _take_limits(gateway, source, message)
 
 
-def take_told(gateway: Gateway, source: str, message: msg.ServerLimits) -> None:
-    """Take in what another host has heard of servers' limits."""
+def _take_limits(gateway: Gateway, source: str, message: msg.ServerLimits) -> None:
     rates = gateway.steering.placement.gate.rates
     now = gateway.now()
     for server_id, born_ms, rate, age_s in message.items:
@@ -48,6 +56,10 @@
             _log_limit(gateway, (server_id, born_ms), said, source, age_s)
 
 
+def _log_leaving(server: Incarnation, source: str) -> None:
+    logs.event("server-leaving", server=server[0], born_ms=server[1], source=source)
+
+
 def _log_limit(
     gateway: Gateway,
     server: Incarnation,
@@ -69,10 +81,19 @@
 
 def measure_signals(gateway: Gateway) -> None:
     """Set the gauges of servers that ask for something."""
-    rates = gateway.steering.placement.gate.rates
+    gate = gateway.steering.placement.gate
+    rates = gate.rates
     limits = {server[0]: limit for server, limit in rates.in_force()}
     metrics = gateway.metrics
     metrics.set_gauge("servers.passed-over.limit", rates.passed_over)
+    metrics.set_gauge("servers.passed-over.leaving", gate.departures.passed_over)
+    known = gateway.steering.placement.known.servers
+    leaving = {
+        server_id: 1.0
+        for server_id, server in known.items()
+        if gate.departures.leaves(server.entry.incarnation)
+    }
+    metrics.replace_gauges("servers.leaving.", leaving)
     metrics.replace_gauges(
         "servers.limit.", {name: limit.rate for name, limit in limits.items()}
     )
--- a/lacewingcross/gateway/telling.py
+++ b/lacewingcross/gateway/telling.py
@@ -1,6 +1,7 @@
 """What another entry host is told: signs of life, counts, who lives, ended servers."""
 
 from collections.abc import Iterator
+from typing import TypeVar
 
 from ..core import messages as msg
 from ..core.contacts import hearers, hosts_to_tell, wanted
@@ -14,6 +15,8 @@
 from .context import Gateway
 from .link import Link
 
+T = TypeVar("T")
+
 # All counts are told again after so long, in seconds: a server may have become known
 # to the other host only after its count was told.
 COUNTS_WHOLE_S = 2.0
@@ -208,12 +211,20 @@
 
 def signal_messages(gate: SendGate, now: float) -> Iterator[msg.Message]:
     """Yield the messages that tell what a host has heard servers say."""
+    leaving = list(gate.departures.own_words())
+    for part in _in_parts(leaving):
+        yield msg.ServersLeaving(part)
     items = [
         (*server, -1.0 if limit.rate is None else limit.rate, max(0.0, now - limit.at))
         for server, limit in gate.rates.own_words()
     ]
+    for part in _in_parts(items):
+        yield msg.ServerLimits(part)
+
+
+def _in_parts(items: list[T]) -> Iterator[list[T]]:
     for first in range(0, len(items), msg.SERVERS_MOST):
-        yield msg.ServerLimits(items[first : first + msg.SERVERS_MOST])
+        yield items[first : first + msg.SERVERS_MOST]
 
 
 def news_message(piece: Piece, ledger: CrashLedger) -> msg.Message:
