Logs tell when a server asks for rest

Seconds, or a date reckoned from the answer's own date. Without it logs can't tell a rest that nobody keeps from evidence that runs out. No decision goes by it yet.

--- a/lacewingcross/core/server_signals.py
+++ b/lacewingcross/core/server_signals.py
@@ -14,6 +14,8 @@
         limit.
     leaving : bool
         Whether it leaves: it ends soon and wants nothing more.
+    rest_s : float
+        Time for which it wants nothing more from this host, in seconds; 0 for none.
     unreadable : tuple of str
         Names of fields that were there and could not be read. They say nothing: what
         was believed before stays.
@@ -21,6 +23,7 @@
 
     rate: float | None = None
     leaving: bool = False
+    rest_s: float = 0.0
     unreadable: tuple[str, ...] = ()
 
 
--- a/lacewingcross/gateway/signals.py
+++ b/lacewingcross/gateway/signals.py
@@ -21,13 +21,19 @@
     """
     if head.status == MISDIRECTED:
         return
-    said = read_signals(head.headers)
+    said = read_signals(head.status, head.headers)
     for name in said.unreadable:
         gateway.metrics.count(f"signals.unreadable.{name}")
     gate = gateway.steering.placement.gate
     incarnation = server.entry.incarnation
     if said.leaving and gate.departures.heard(incarnation):
         _log_leaving(incarnation, OWN)
+    if said.rest_s:
+        logs.event(
+            "server-rests",
+            server=server.entry.server_id,
+            rest_ms=int(1000 * said.rest_s),
+        )
     if "limit" in said.unreadable:
         return
     if gate.rates.heard(incarnation, said.rate, asked_at, gateway.now()):
--- a/lacewingcross/platform/answer_signals.py
+++ b/lacewingcross/platform/answer_signals.py
@@ -3,6 +3,7 @@
 import math
 import re
 from collections.abc import Iterable
+from email.utils import parsedate_to_datetime
 
 from ..core.server_signals import NO_SIGNALS, ServerSignals
 from . import headers as ph
@@ -12,11 +13,13 @@
 _DECIMAL = re.compile(rf"[0-9]{{1,{DIGITS_MOST}}}(\.[0-9]{{0,{DIGITS_MOST}}})?")
 
 
-def read_signals(headers: Iterable[tuple[bytes, bytes]]) -> ServerSignals:
+def read_signals(status: int, headers: Iterable[tuple[bytes, bytes]]) -> ServerSignals:
     """Return the signals in a head.
 
     Parameters
     ----------
+    status : int
+        Status of the answer.
     headers : iterable of (bytes, bytes)
         Names in lower case, and values.
     """
@@ -30,7 +33,29 @@
         if rate is None:
             unreadable.append("limit")
     leaving = found.get(ph.SERVER_LEAVING, b"0").strip() != b"0"
-    return ServerSignals(rate, leaving, tuple(unreadable))
+    rest_s = 0.0
+    if ph.RETRY_AFTER in found and status in ph.RESTING:
+        rest_s = _rest_s(found[ph.RETRY_AFTER], found.get(ph.DATE, b""))
+        if rest_s is None:
+            unreadable.append("rest")
+    return ServerSignals(rate, leaving, rest_s or 0.0, tuple(unreadable))
+
+
+def _rest_s(value: bytes, made_at: bytes) -> float | None:
+    """Return a time from now on in seconds, or None.
+
+    A date is taken from the one at which the answer was made: this host's own clock may
+    be seconds off.
+    """
+    seconds = _decimal(value)
+    if seconds is not None:
+        return seconds
+    try:
+        until = parsedate_to_datetime(value.decode("latin-1"))
+        rest = until - parsedate_to_datetime(made_at.decode("latin-1"))
+    except (TypeError, ValueError):
+        return None
+    return max(0.0, rest.total_seconds())
 
 
 def _decimal(value: bytes) -> float | None:
--- a/lacewingcross/platform/headers.py
+++ b/lacewingcross/platform/headers.py
@@ -17,5 +17,10 @@
 SERVER_LIMIT = b"server-limit"
 # Present when a server is about to end.
 SERVER_LEAVING = b"server-leaving"
+# With a status in `RESTING`: seconds for which the server wants nothing from this host.
+RETRY_AFTER = b"retry-after"
+RESTING = frozenset((429, 503))
+# When an answer was made, by its server's clock.
+DATE = b"date"
 # What a server says of itself, besides its load.
-SIGNALS = frozenset((SERVER_LIMIT, SERVER_LEAVING))
+SIGNALS = frozenset((SERVER_LIMIT, SERVER_LEAVING, RETRY_AFTER, DATE))
--- a/tests/test_answer_signals.py
+++ b/tests/test_answer_signals.py
@@ -12,35 +12,58 @@
 
 @pytest.mark.parametrize(("text", "rate"), [(b"7.6", 7.6), (b"0", 0.0), (b" 12 ", 12)])
 def test_a_limit_is_a_decimal_number(text, rate):
-    assert read_signals([(b"server-limit", text)]).rate == rate
+    assert read_signals(200, [(b"server-limit", text)]).rate == rate
 
 
 @pytest.mark.parametrize(
     "text", [b"", b"-1", b"nan", b"inf", b"1e9", b"7,6", b"9" * 99]
 )
 def test_an_unreadable_limit_is_named_and_left_out(text):
-    said = read_signals([(b"server-limit", text)])
+    said = read_signals(200, [(b"server-limit", text)])
     assert (said.rate, said.unreadable) == (None, ("limit",))
 
 
 @pytest.mark.parametrize(("text", "leaving"), [(b"1", True), (b"0", False)])
 def test_a_server_that_leaves_says_so(text, leaving):
-    assert read_signals([(b"server-leaving", text)]).leaving is leaving
+    assert read_signals(200, [(b"server-leaving", text)]).leaving is leaving
+
+
+@pytest.mark.parametrize(("status", "rest_s"), [(503, 3.5), (429, 3.5), (200, 0.0)])
+def test_a_server_that_turns_requests_away_may_ask_for_rest(status, rest_s):
+    assert read_signals(status, [(b"retry-after", b"3.5")]).rest_s == rest_s
+
+
+def test_a_rest_may_end_at_a_date_by_the_servers_own_clock():
+    headers = [
+        (b"retry-after", b"Fri, 31 Dec 1999 23:59:59 GMT"),
+        (b"date", b"Fri, 31 Dec 1999 23:59:55 GMT"),
+    ]
+    assert read_signals(503, headers).rest_s == 4.0
+    assert read_signals(503, headers[:1]).unreadable == ("rest",)
+
+
+@pytest.mark.parametrize("text", [b"-3", b"inf", b"soon", b""])
+def test_an_unreadable_rest_is_named_and_left_out(text):
+    said = read_signals(503, [(b"retry-after", text)])
+    assert (said.rest_s, said.unreadable) == (0.0, ("rest",))
 
 
 @given(
     st.lists(
         st.tuples(
-            st.sampled_from([b"server-limit", b"server-leaving", b"x"]), st.binary()
+            st.sampled_from(
+                [b"server-limit", b"server-leaving", b"retry-after", b"date"]
+            ),
+            st.binary(),
         )
     )
 )
 def test_any_head_can_be_read(headers):
-    read_signals(headers)
+    read_signals(503, headers)
 
 
 def test_a_head_without_signals_says_nothing():
-    assert read_signals([(b"content-length", b"2")]) is NO_SIGNALS
+    assert read_signals(200, [(b"content-length", b"2")]) is NO_SIGNALS
 
 
 def rate_of(app):
