A test in which a host does not leave a resting server alone (known red)

Fails on this code: a server that asked for 5 s of rest gets requests 1.9, 2.0, 3.5 and 4.6 s later from the same host, allowed 2 after half a second. The host's own evidence passes the server over for 1.5 s at a time, which the times show: it was not read for how long the server wants nothing.

--- /dev/null
+++ b/tests/test_rests_gateway.py
@@ -0,0 +1,39 @@
+"""Servers that turn requests away and ask for rest, as callers and they see it."""
+
+import time
+
+from tests.gateway_parts import answer, answers_at_once, fleet, until
+from tests.test_gateway import in_loop
+from tests.test_leaving_word_gateway import known
+from tests.test_rate_limits_gateway import hosts_ready, send_for
+
+REST_S = 5.0
+
+
+def resting(arrivals, rest_s=REST_S):
+    """Return the behaviour of a server that sheds all and asks for rest."""
+
+    async def behave(received, writer):
+        arrivals.append(time.monotonic())
+        extra = f"X-Lacewingcross-Not-Executed: 1\r\nRetry-After: {rest_s}\r\n"
+        writer.write(answer(received.request_id, status=503, extra=extra.encode()))
+
+    return behave
+
+
+@in_loop
+async def test_a_server_that_asks_a_host_for_rest_is_left_alone_by_it():
+    arrivals = []
+    async with fleet() as made:
+        made.configure()
+        await made.add_server(resting(arrivals))
+        await made.add_server(answers_at_once, domain="b1")
+        apps = await hosts_ready(made, 1)
+        await until(lambda: len(known(apps[0])) == 2)
+        while not arrivals:
+            await send_for(apps, 0.1)
+        asked = arrivals[0]
+        responses = await send_for(apps, asked + REST_S - time.monotonic())
+        inside = [at for at in arrivals if asked + 0.5 < at < asked + REST_S]
+        assert len(inside) <= 2
+        assert all(r.status == 200 for r in responses)
