A caller whose request all servers shed is told when their rest ends

Cause: after a shed with free slots callers are asked back in 10 to 50 ms, also when every server had just asked this host for seconds of rest. They came back to be refused again. The test fails before (asked back in under 50 ms, rest of 2 s).

--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -123,14 +123,20 @@
 
     def _nobody(self, ask: Ask, now: float) -> Refusal:
         """Return why no server may be sent a request, and when one may."""
-        pause_s = self.pause(ask.service)
+        held_s = self.held_s(ask, now)
+        if held_s:
+            return Refusal(ALL_HELD, held_s)
         known = self._homes.of_service(ask.service)
-        if not known:
-            return Refusal("no-server", pause_s)
-        wait_s = self.eligibility.wait_s(known, ask, now)
-        if 0.0 < wait_s < float("inf"):
-            return Refusal(ALL_HELD, wait_s * self.spread(1.0, 1 + SPREAD))
-        return Refusal(NO_USABLE_SERVER, pause_s)
+        reason = NO_USABLE_SERVER if known else "no-server"
+        return Refusal(reason, self.pause(ask.service))
+
+    def held_s(self, ask: Ask, now: float) -> float:
+        """Return when to come back if all servers ask to wait, spread; else 0."""
+        servers = self._homes.of_service(ask.service)
+        wait_s = self.eligibility.wait_s(servers, ask, now)
+        if wait_s == float("inf"):
+            return 0.0
+        return wait_s * self.spread(1.0, 1 + SPREAD)
 
     def _off_limits(self, ask: Ask) -> frozenset[str]:
         """Return the regions that a request leaves to those that are bound there."""
--- a/lacewingcross/gateway/attempting.py
+++ b/lacewingcross/gateway/attempting.py
@@ -1,7 +1,7 @@
 """The attempts of one request at backend servers, until one has answered."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .. import logs
 from ..core.attempts import Attempt, Ending, Stage, Verdict, decide
@@ -164,9 +164,13 @@
         """Return when the caller should come back, in seconds.
 
         A server that sheds although it has free slots may well take the next request:
-        the caller need not wait for room.
+        the caller need not wait for room, unless all servers ask to wait.
         """
         placement = self._gateway.steering.placement
+        anew = replace(self._ask(), tried=frozenset())
+        held_s = placement.held_s(anew, self._gateway.now())
+        if held_s:
+            return held_s
         if self._shed_with_room:
             return placement.spread(*SHED_PAUSE_S)
         return placement.pause(self._service)
--- a/tests/test_rests_gateway.py
+++ b/tests/test_rests_gateway.py
@@ -69,3 +69,16 @@
         server.behave = answers_at_once
         assert (await ask(apps[0], "/safe/a", "r2")).status == 503
         assert (await ask(apps[1], "/safe/a", "r3")).status == 200
+
+
+@in_loop
+async def test_a_caller_whose_request_all_servers_shed_is_told_when_their_rest_ends():
+    async with fleet() as made:
+        made.configure()
+        for _ in range(2):
+            await made.add_server(resting([], 2.0))
+        (app,) = await hosts_ready(made, 1)
+        await until(lambda: len(known(app)) == 2)
+        got = await ask(app, "/safe/a")
+        assert sum(len(server.requests) for server in made.servers) == 2
+        assert (got.status, float(header(got, "retry-after")) > 1.0) == (503, True)
