A server that takes no more requests is not blamed for the one before it

Cause: an attempt that was overtaken before its first byte ended with the reason of the attempt before it. After a refused connection the second server was taken for one that cannot be reached, and left alone by a host that had never sent to it. The new test fails before: the caller gets 503, no-usable-server, though one server was free.

--- a/lacewingcross/gateway/attempting.py
+++ b/lacewingcross/gateway/attempting.py
@@ -242,7 +242,9 @@
             ran = attempt.stage in (Stage.UNKNOWN, Stage.ANSWERED)
             self.may_have_run = ran_before or ran
             placement.ended(server)
-            result = AttemptResult(number, ending, self._last, began, answer, self.gone)
+            # An overtaken attempt must not be taken to have failed like the last one.
+            why = "" if self._overtaken else self._last
+            result = AttemptResult(number, ending, why, began, answer, self.gone)
             learn(self._gateway, choice, result)
             if answer is None or whole or ending is Ending.SERVER_NOT_RUN:
                 run.let_go(whole=whole)
--- a/tests/test_rate_limits_gateway.py
+++ b/tests/test_rate_limits_gateway.py
@@ -4,8 +4,16 @@
 import itertools
 import time
 
+from lacewingcross.core.placement import Placement
 from lacewingcross.core.rate_limits import RateLimits
-from tests.gateway_parts import answer, answers_at_once, ask, fleet, until
+from tests.gateway_parts import (
+    answer,
+    answers_at_once,
+    ask,
+    fleet,
+    free_address,
+    until,
+)
 from tests.test_gateway import header, in_loop
 
 WINDOW_S = 4.0
@@ -135,3 +143,30 @@
         counters = app.gateway.metrics.counters
         assert counters["attempts.overtaken"] == 1
         assert not [name for name in counters if name.startswith("retries.")]
+
+
+@in_loop
+async def test_a_server_is_not_blamed_for_the_failure_of_the_one_before(monkeypatch):
+    # The first server refuses connections; the second one takes no more requests, and
+    # would be left alone as one that cannot be reached.
+    async with fleet() as made:
+        made.configure()
+        made.register("dead", free_address())
+        await made.add_server(answers_at_once)
+        (app,) = await hosts_ready(made, 1)
+        placement = app.gateway.steering.placement
+        await until(lambda: len(placement.known.servers) == 2)
+        send = Placement.sent
+        calls = itertools.count()
+
+        def every_second(self, choice, now):
+            return bool(next(calls) % 2) and send(self, choice, now)
+
+        monkeypatch.setattr(Placement, "sent", every_second)
+        counters = app.gateway.metrics.counters
+        for number in range(20):
+            got = await ask(app, "/safe/a", f"r{number}", key=str(number))
+            assert got.status == 200
+        assert counters["retries.connect-refused"]
+        good = placement.known.servers["i-1"]
+        assert good.evidence.why == ""
