--- a/lacewingcross/gateway/telling.py
+++ b/lacewingcross/gateway/telling.py
@@ -1,6 +1,6 @@
 """What another entry host is told: signs of life, counts, who lives, ended servers."""
 
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from typing import TypeVar
 
 from ..core import messages as msg
@@ -181,11 +181,16 @@
             link.told_signals = gate.version
             frames = frames or [
                 (encode(message), type(message))
-                for message in signal_messages(gate, self._gateway.now())
+                for message in self._signal_messages(gate)
             ]
             for frame, kind in frames:
                 link.send_frame(frame, kind)
 
+    def _signal_messages(self, gate: SendGate) -> Iterator[msg.Message]:
+        """Yield what this host has heard known servers say."""
+        known = self._gateway.steering.placement.known.servers
+        yield from signal_messages(gate, known.keys(), self._gateway.now())
+
     def _pieces_for(self, host_id: str, link: Link) -> Iterator[Piece]:
         active = self._gateway.roster.active
         fresh = link.told_news is None
@@ -209,9 +214,16 @@
         yield server_id, 0
 
 
-def signal_messages(gate: SendGate, now: float) -> Iterator[msg.Message]:
-    """Yield the messages that tell what a host has heard servers say."""
-    leaving = list(gate.departures.own_words())
+def signal_messages(
+    gate: SendGate, known: Container[str], now: float
+) -> Iterator[msg.Message]:
+    """Yield the messages that tell what a host has heard servers say.
+
+    Of those that leave only `known` ones are told: hundreds do so each day, and who is
+    gone needs no word.
+    """
+    words = gate.departures.own_words()
+    leaving = [server for server in words if server[0] in known]
     for part in _in_parts(leaving):
         yield msg.ServersLeaving(part)
     items = [
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,6 +2,7 @@
 
 from lacewingcross.core.departures import KEPT, Departures
 from lacewingcross.core.send_gate import SendGate
+from lacewingcross.gateway.telling import signal_messages
 
 SERVER = ("i-1", 0)
 
@@ -38,3 +39,11 @@
         departures.heard((f"i-{number}", 0))
     assert not departures.leaves(("i-0", 0))
     assert departures.leaves((f"i-{KEPT}", 0))
+
+
+def test_other_hosts_are_told_of_servers_that_are_still_there():
+    gate = SendGate("h0")
+    gate.departures.heard(SERVER)
+    gate.departures.heard(("gone", 0))
+    (message,) = signal_messages(gate, {"i-1"}, 0.0)
+    assert message.servers == [SERVER]
