--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -166,6 +166,17 @@
     world.ledger.signals.by_server[server.server_id].limit_ended = world.now()
 
 
+async def _server_leaving_word(world: World, fault: Fault) -> None:
+    """Let a server leave by its answers alone; the store is not told before it ends."""
+    server = _server(world, fault)
+    if server.leaving or server.mood.leaving_word:
+        return
+    await world.add_server(server.service, server.domain)
+    server.mood.leaving_word = True
+    await asyncio.sleep(fault.for_s)
+    await world.drop_server(server)
+
+
 # The store and the operators
 
 
@@ -235,6 +246,7 @@
     "server-slow": _mood(slow=5.0),
     "server-shed": _mood(shed=True),
     "server-limit": _server_limit,
+    "server-leaving-word": _server_leaving_word,
     "store-busy": _store(down="busy"),
     "store-many": _store(down="many"),
     "store-reset": _store(down="reset"),
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -7,10 +7,9 @@
 
 from .accounts import USUAL, broken_accounts, broken_keys, broken_quota
 from .findings import Broken
-from .signals import SignalLedger, broken_limits
+from .signals import DRAIN_S, SignalLedger, broken_limits, broken_words
 
 # The promises of the deployment that the soak settings give, in seconds.
-DRAIN_S = 2.5
 EVACUATION_S = 5.0
 CONFIG_APPLY_S = 2.5
 STABLE_S = 3.0
@@ -146,6 +145,7 @@
         found += broken_keys(self)
         found += broken_quota(self)
         found += broken_limits(self)
+        found += broken_words(self)
         found += [
             Broken("ENDED", at, f"host {host} ended by itself with {code}")
             for at, host, code in self.ended_alone
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -35,6 +35,8 @@
     dark: bool = False
     # Requests a second that it names as its limit.
     limit: float | None = None
+    # Whether it says in its answers that it leaves; the store is not told.
+    leaving_word: bool = False
 
 
 @dataclass(slots=True)
@@ -108,7 +110,8 @@
             await exchange.respond(421, [(ph.NOT_RUN, b"1")], b"")
             return
         asked = self.ledger.signals.by_server[self.server_id]
-        asked.reached.append(Reached(self.now(), self._host_of(request_id)))
+        sent = self.ledger.sent[request_id]
+        asked.reached.append(Reached(self.now(), sent.host, sent.at))
         body = await read_body(exchange, MAX_BODY)
         if self.mood.shed or (self._slots.locked() and self._waiting >= QUEUE):
             await self._refuse(exchange, request_id)
@@ -123,17 +126,18 @@
         finally:
             self._slots.release()
 
-    def _host_of(self, request_id: str) -> int:
-        return self.ledger.sent[request_id].host
-
     def _signals(self, request_id: str) -> hd.HeaderList:
         """Return what the server asks for in an answer, and note it."""
-        if self.mood.limit is None:
-            return []
         asked = self.ledger.signals.by_server[self.server_id]
-        word = (self.now(), self._host_of(request_id), self.mood.limit)
-        asked.limits.append(word)
-        return [(ph.SERVER_LIMIT, str(self.mood.limit).encode())]
+        host = self.ledger.sent[request_id].host
+        fields = []
+        if self.mood.limit is not None:
+            asked.limits.append((self.now(), host, self.mood.limit))
+            fields.append((ph.SERVER_LIMIT, str(self.mood.limit).encode()))
+        if self.mood.leaving_word:
+            asked.left.setdefault(host, self.now())
+            fields.append((ph.SERVER_LEAVING, b"1"))
+        return fields
 
     async def _refuse(self, exchange: Exchange, request_id: str) -> None:
         fields = [(ph.NOT_RUN, b"1"), *self._signals(request_id)]
--- a/bench/soak/signals.py
+++ b/bench/soak/signals.py
@@ -17,15 +17,21 @@
 STABLE_S = 3.0
 # A host is bound from so long after it had such an answer, in seconds.
 HEARD_S = 0.5
+# A server that has told a host that it leaves gets nothing that is sent so much later.
+DRAIN_S = 2.5
 BOUND = RateBound()
 
 
 @dataclass(slots=True, frozen=True)
 class Reached:
-    """A request that reached a server, run or not, and the host that sent it."""
+    """A request that reached a server, run or not, and the host that sent it.
+
+    `sent_at` is when its caller sent it.
+    """
 
     at: float
     host: int
+    sent_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -37,6 +43,8 @@
     limits: list[tuple[float, int, float]] = field(default_factory=list)
     # When it stopped to name one.
     limit_ended: float = float("inf")
+    # When it first told a host that it leaves, by host.
+    left: dict[int, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -46,6 +54,19 @@
     by_server: dict[str, Asked] = field(default_factory=lambda: defaultdict(Asked))
 
 
+def broken_words(ledger: "Ledger") -> Iterator[Broken]:
+    """Yield requests that reached a server long after it had said that it leaves."""
+    for server_id, asked in ledger.signals.by_server.items():
+        for item in asked.reached:
+            told = asked.left.get(item.host)
+            if told is None or item.sent_at <= told + DRAIN_S:
+                continue
+            if not ledger.hosts[item.host].near(told, item.at):
+                late_s = item.sent_at - told
+                text = f"{server_id} told host {item.host} {late_s:.2f} s before"
+                yield Broken("DRAIN", item.at, text)
+
+
 def broken_limits(ledger: "Ledger") -> Iterator[Broken]:
     """Yield the first window of each server in which it got more than its limit."""
     for server_id, asked in ledger.signals.by_server.items():
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -317,3 +317,20 @@
     made = limited(18)
     made.signals.by_server[SERVER].limits.pop()
     assert made.broken() == []
+
+
+def left(*, sent_at):
+    """Return a ledger in which a host sends to a server that told it at 10 s."""
+    made = ledger()
+    asked = made.signals.by_server[SERVER]
+    asked.left[0] = 10.0
+    asked.reached.append(Reached(sent_at + 0.1, 0, sent_at))
+    return made
+
+
+def test_a_request_long_after_a_servers_own_word_is_found():
+    assert [item.rule for item in left(sent_at=10.1 + DRAIN_S).broken()] == ["DRAIN"]
+    assert left(sent_at=9.9 + DRAIN_S).broken() == []
+    made = left(sent_at=10.1 + DRAIN_S)
+    made.hosts[0].add(11.0, 11.5, "host-kill")
+    assert made.broken() == []
