Soak: servers turn requests away and ask for rest; signals are read in one pass

Checked from what they get: at most two requests of a host from half a second after it was asked until the end.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -177,6 +177,14 @@
     await world.drop_server(server)
 
 
+async def _server_rest(world: World, fault: Fault) -> None:
+    """Let a server turn everything away, and ask for rest, half of the time."""
+    mood = _server(world, fault).mood
+    mood.rest_s = fault.for_s / 2
+    await asyncio.sleep(fault.for_s / 2)
+    mood.rest_s = 0.0
+
+
 # The store and the operators
 
 
@@ -246,6 +254,7 @@
     "server-slow": _mood(slow=5.0),
     "server-shed": _mood(shed=True),
     "server-limit": _server_limit,
+    "server-rest": _server_rest,
     "server-leaving-word": _server_leaving_word,
     "store-busy": _store(down="busy"),
     "store-many": _store(down="many"),
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -7,7 +7,13 @@
 
 from .accounts import USUAL, broken_accounts, broken_keys, broken_quota
 from .findings import Broken
-from .signals import DRAIN_S, SignalLedger, broken_limits, broken_words
+from .signals import (
+    DRAIN_S,
+    SignalLedger,
+    broken_limits,
+    broken_rests,
+    broken_words,
+)
 
 # The promises of the deployment that the soak settings give, in seconds.
 EVACUATION_S = 5.0
@@ -146,6 +152,7 @@
         found += broken_quota(self)
         found += broken_limits(self)
         found += broken_words(self)
+        found += broken_rests(self)
         found += [
             Broken("ENDED", at, f"host {host} ended by itself with {code}")
             for at, host, code in self.ended_alone
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -36,7 +36,7 @@
     "server-shed",
 )
 # What servers ask for in their answers, drawn apart from the faults.
-SIGNAL_KINDS = ("server-limit", "server-leaving-word")
+SIGNAL_KINDS = ("server-limit", "server-leaving-word", "server-rest")
 SIGNALS_PER_FAULT = 0.25
 FLEET_KINDS = (
     "store-busy",
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -37,6 +37,8 @@
     limit: float | None = None
     # Whether it says in its answers that it leaves; the store is not told.
     leaving_word: bool = False
+    # It turns all requests away and asks for so much rest, in seconds.
+    rest_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -113,7 +115,11 @@
         sent = self.ledger.sent[request_id]
         asked.reached.append(Reached(self.now(), sent.host, sent.at))
         body = await read_body(exchange, MAX_BODY)
-        if self.mood.shed or (self._slots.locked() and self._waiting >= QUEUE):
+        if (
+            self.mood.shed
+            or self.mood.rest_s
+            or (self._slots.locked() and self._waiting >= QUEUE)
+        ):
             await self._refuse(exchange, request_id)
             return
         self._waiting += 1
@@ -141,6 +147,11 @@
 
     async def _refuse(self, exchange: Exchange, request_id: str) -> None:
         fields = [(ph.NOT_RUN, b"1"), *self._signals(request_id)]
+        if self.mood.rest_s:
+            asked = self.ledger.signals.by_server[self.server_id]
+            host = self.ledger.sent[request_id].host
+            asked.rests.append((self.now(), host, self.mood.rest_s))
+            fields.append((ph.RETRY_AFTER, f"{self.mood.rest_s:.3f}".encode()))
         await exchange.respond(503, fields, b"")
 
     async def _run(self, exchange: Exchange, request_id: str, body: bytes) -> None:
--- a/bench/soak/signals.py
+++ b/bench/soak/signals.py
@@ -19,6 +19,8 @@
 HEARD_S = 0.5
 # A server that has told a host that it leaves gets nothing that is sent so much later.
 DRAIN_S = 2.5
+# Requests of one host that may reach a server in a rest that it has asked for.
+REST_MOST = 2
 BOUND = RateBound()
 
 
@@ -45,6 +47,8 @@
     limit_ended: float = float("inf")
     # When it first told a host that it leaves, by host.
     left: dict[int, float] = field(default_factory=dict)
+    # Time, host and seconds of each rest that it asked for.
+    rests: list[tuple[float, int, float]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -67,6 +71,23 @@
                 yield Broken("DRAIN", item.at, text)
 
 
+def broken_rests(ledger: "Ledger") -> Iterator[Broken]:
+    """Yield the first rest of each server and host that the host did not keep."""
+    for server_id, asked in ledger.signals.by_server.items():
+        times: dict[int, list[float]] = defaultdict(list)
+        for item in asked.reached:
+            times[item.host].append(item.at)
+        found: set[int] = set()
+        for at, host, rest_s in asked.rests:
+            begin = bisect_left(times[host], at + HEARD_S)
+            count = bisect_left(times[host], at + rest_s) - begin
+            calm = not ledger.hosts[host].near(at, at + rest_s)
+            if count > REST_MOST and calm and host not in found:
+                found.add(host)
+                text = f"{server_id}: {count} requests of host {host} in its rest"
+                yield Broken("REST", at + rest_s, text)
+
+
 def broken_limits(ledger: "Ledger") -> Iterator[Broken]:
     """Yield the first window of each server in which it got more than its limit."""
     for server_id, asked in ledger.signals.by_server.items():
--- a/lacewingcross/platform/answer_signals.py
+++ b/lacewingcross/platform/answer_signals.py
@@ -2,7 +2,7 @@
 
 import math
 import re
-from collections.abc import Iterable
+from collections.abc import Collection
 from email.utils import parsedate_to_datetime
 
 from ..core.server_signals import NO_SIGNALS, ServerSignals
@@ -13,14 +13,16 @@
 _DECIMAL = re.compile(rf"[0-9]{{1,{DIGITS_MOST}}}(\.[0-9]{{0,{DIGITS_MOST}}})?")
 
 
-def read_signals(status: int, headers: Iterable[tuple[bytes, bytes]]) -> ServerSignals:
+def read_signals(
+    status: int, headers: Collection[tuple[bytes, bytes]]
+) -> ServerSignals:
     """Return the signals in a head.
 
     Parameters
     ----------
     status : int
         Status of the answer.
-    headers : iterable of (bytes, bytes)
+    headers : collection of (bytes, bytes)
         Names in lower case, and values.
     """
     found = {name: value for name, value in headers if name in ph.SIGNALS}
@@ -35,7 +37,7 @@
     leaving = found.get(ph.SERVER_LEAVING, b"0").strip() != b"0"
     rest_s = 0.0
     if ph.RETRY_AFTER in found and status in ph.RESTING:
-        rest_s = _rest_s(found[ph.RETRY_AFTER], found.get(ph.DATE, b""))
+        rest_s = _rest_s(found[ph.RETRY_AFTER], dict(headers).get(ph.DATE, b""))
         if rest_s is None:
             unreadable.append("rest")
     return ServerSignals(rate, leaving, rest_s or 0.0, tuple(unreadable))
--- a/lacewingcross/platform/headers.py
+++ b/lacewingcross/platform/headers.py
@@ -23,4 +23,4 @@
 # When an answer was made, by its server's clock.
 DATE = b"date"
 # What a server says of itself, besides its load.
-SIGNALS = frozenset((SERVER_LIMIT, SERVER_LEAVING, RETRY_AFTER, DATE))
+SIGNALS = frozenset((SERVER_LIMIT, SERVER_LEAVING, RETRY_AFTER))
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -334,3 +334,22 @@
     made = left(sent_at=10.1 + DRAIN_S)
     made.hosts[0].add(11.0, 11.5, "host-kill")
     assert made.broken() == []
+
+
+def rested(count):
+    """Return a ledger in which a host sent so much in a rest of 3 s."""
+    made = ledger()
+    asked = made.signals.by_server[SERVER]
+    asked.rests.append((10.0, 0, 3.0))
+    asked.reached += [Reached(10.2, 0), Reached(13.5, 0), Reached(11.5, 1)]
+    asked.reached += [Reached(11.0 + number / 10, 0) for number in range(count)]
+    asked.reached.sort(key=lambda item: item.at)
+    return made
+
+
+def test_more_than_two_requests_in_a_rest_that_a_server_asked_for_are_found():
+    assert [item.rule for item in rested(3).broken()] == ["REST"]
+    assert rested(2).broken() == []
+    made = rested(3)
+    made.hosts[0].add(11.0, 11.5, "host-pause")
+    assert made.broken() == []
