--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -37,6 +37,9 @@
 # Pauses for refused callers are spread by this much around the expected wait, so that
 # those who were refused together do not return together.
 SPREAD = 0.5
+# Pause for a caller whose request a server with free slots has shed, in seconds, from
+# and to: long enough to open a connection.
+SHED_PAUSE_S = (0.01, 0.05)
 # Servers at the head of a key's order among which it may stay warm.
 STAY_AMONG = 12
 # A home at which nothing was in flight for so long takes a key over although it is warm
@@ -242,6 +245,17 @@
         wait = self.expectations.service_work_s(service)
         return wait * self.spread(1 - SPREAD, 1 + SPREAD)
 
+    def pause_after_shed(self, ask: Ask, now: float, *, with_room: bool) -> float:
+        """Return when a caller should come back whose request servers have shed.
+
+        A server that sheds although it has free slots (`with_room`) may well take the
+        next request: the caller need not wait for room, unless all servers ask to wait.
+        """
+        held_s = self.held_s(ask, now)
+        if held_s:
+            return held_s
+        return self.spread(*SHED_PAUSE_S) if with_room else self.pause(ask.service)
+
     def spread(self, least: float, most: float) -> float:
         """Return a number between two, at random."""
         return self._rng.uniform(least, most)
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -27,11 +27,11 @@
 from .callers import CallerListener
 from .context import Gateway
 from .following import HostDirectory, StoreFollower
+from .measuring import measure_host
 from .pages import PageListener, answer_lookup, answer_metrics, answer_readiness
 from .peers import Peers
 from .quarantine_store import QuarantineStore
 from .settings import GatewaySettings
-from .signals import measure_signals
 
 INCARNATION_BITS = 31
 TICK_S = 0.1
@@ -211,21 +211,11 @@
         roster.needed = cores_needed(config, servers)
 
     def _measure(self, now: float) -> None:
-        gateway = self.gateway
-        placement = gateway.steering.placement
-        metrics = gateway.metrics
+        metrics = self.gateway.metrics
         metrics.set_gauge("requests.running", self.entry.running)
         metrics.set_gauge("callers.connections", self.entry.server.connections)
-        metrics.set_gauge("hosts.known", 1 + len(gateway.roster.entries))
-        metrics.set_gauge("hosts.live", len(gateway.roster.live(now)))
-        metrics.set_gauge("hosts.active", len(gateway.roster.active))
-        metrics.set_gauge("servers.known", len(placement.known.servers))
-        measure_signals(gateway)
-        quarantine = gateway.crashes.ledger.quarantine
-        metrics.set_gauge("requests.quarantined", len(quarantine))
-        gateway.quota_desk.measure()
         metrics.set_gauge("store.calls", self._store.calls)
-        metrics.set_gauge("store.age_s", gateway.steering.store_age(now))
+        measure_host(self.gateway, now)
 
     # Settings
 
--- a/lacewingcross/gateway/attempt_log.py
+++ b/lacewingcross/gateway/attempt_log.py
@@ -56,6 +56,16 @@
             left_ms=int(1000 * left_s),
         )
 
+    def overtaken(self, attempt: Attempt, left_s: float) -> None:
+        """Write that a server takes a request no more, before any of it was sent."""
+        logs.event(
+            "attempt-overtaken",
+            id=self._frame.request_id,
+            server=attempt.server_id,
+            attempt=attempt.number,
+            left_ms=int(1000 * left_s),
+        )
+
     def ended(
         self,
         attempt: Attempt,
--- a/lacewingcross/gateway/attempting.py
+++ b/lacewingcross/gateway/attempting.py
@@ -1,30 +1,26 @@
 """The attempts of one request at backend servers, until one has answered."""
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from .. import logs
 from ..core.attempts import Attempt, Ending, Stage, Verdict, decide
 from ..core.choices import Ask, Choice, Refusal
-from ..core.routes import Route
-from ..core.terms import Terms
 from ..http1_client import HttpError, ResponseHead
-from ..http1_exchange import Exchange
 from .attempt import (
     Answer,
     AttemptRun,
-    CallerBody,
     SpoiltAnswerError,
     classify,
     was_full,
 )
 from .attempt_log import AttemptLog
 from .context import Gateway
-from .forwarding import OnBehalf, request_for_server
-from .frame import Frame
+from .forwarding import request_for_server
 from .learning import AttemptResult, learn
 from .repeats import Repeats
 from .reply import Final, Reply
+from .routed_request import RoutedRequest
 from .signals import learn_signals
 
 # Bodies up to this size are read before a server is chosen: a caller that sends slowly
@@ -32,29 +28,9 @@
 READ_AHEAD = 512 * 1024
 # Least time that is worth another attempt, in seconds.
 MIN_LEFT_S = 0.03
-# Pause for a caller whose request a server with free slots has shed, in seconds, from
-# and to: long enough to open a connection.
-SHED_PAUSE_S = (0.01, 0.05)
 QUARANTINED = "quarantined"
 
 
-@dataclass(slots=True, frozen=True)
-class RoutedRequest:
-    """A caller's request whose route is known; `deadline` is a monotonic time."""
-
-    exchange: Exchange
-    frame: Frame
-    route: Route
-    terms: Terms
-    on_behalf: OnBehalf
-    body: CallerBody
-    deadline: float
-
-    def left_s(self, now: float) -> float:
-        """Return the time until the deadline, in seconds."""
-        return max(0.0, self.deadline - now)
-
-
 class AttemptSeries:
     """Sends one request to servers.
 
@@ -161,19 +137,11 @@
         return Final(503, QUARANTINED, refused_for)
 
     def _pause_s(self) -> float:
-        """Return when the caller should come back, in seconds.
-
-        A server that sheds although it has free slots may well take the next request:
-        the caller need not wait for room, unless all servers ask to wait.
-        """
-        placement = self._gateway.steering.placement
+        """Return when the caller should come back, in seconds."""
         anew = replace(self._ask(), tried=frozenset())
-        held_s = placement.held_s(anew, self._gateway.now())
-        if held_s:
-            return held_s
-        if self._shed_with_room:
-            return placement.spread(*SHED_PAUSE_S)
-        return placement.pause(self._service)
+        return self._gateway.steering.placement.pause_after_shed(
+            anew, self._gateway.now(), with_room=self._shed_with_room
+        )
 
     def _ask(self) -> Ask:
         route = self._req.route
@@ -259,13 +227,7 @@
         self._tried.discard(attempt.server_id)
         self._repeats.not_run()
         self._gateway.metrics.count("attempts.overtaken")
-        logs.event(
-            "attempt-overtaken",
-            id=self._req.frame.request_id,
-            server=attempt.server_id,
-            attempt=attempt.number,
-            left_ms=int(1000 * self._left()),
-        )
+        self._log.overtaken(attempt, self._left())
         return Verdict.RETRY
 
     async def _exchange_with(self, run: AttemptRun, choice: Choice) -> Answer:
--- /dev/null
+++ b/lacewingcross/gateway/measuring.py
@@ -0,0 +1,38 @@
+"""Sets the gauges of one entry host."""
+
+from .context import Gateway
+
+
+def measure_host(gateway: Gateway, now: float) -> None:
+    """Set the gauges of what a host knows: hosts, servers, requests, the store."""
+    placement = gateway.steering.placement
+    metrics = gateway.metrics
+    metrics.set_gauge("hosts.known", 1 + len(gateway.roster.entries))
+    metrics.set_gauge("hosts.live", len(gateway.roster.live(now)))
+    metrics.set_gauge("hosts.active", len(gateway.roster.active))
+    metrics.set_gauge("servers.known", len(placement.known.servers))
+    quarantine = gateway.crashes.ledger.quarantine
+    metrics.set_gauge("requests.quarantined", len(quarantine))
+    gateway.quota_desk.measure()
+    metrics.set_gauge("store.age_s", gateway.steering.store_age(now))
+    _measure_signals(gateway, now)
+
+
+def _measure_signals(gateway: Gateway, now: float) -> None:
+    """Set the gauges of servers that ask for something."""
+    gate = gateway.steering.placement.gate
+    metrics = gateway.metrics
+    metrics.set_gauge("servers.passed-over.limit", gate.rates.passed_over)
+    metrics.set_gauge("servers.passed-over.leaving", gate.departures.passed_over)
+    metrics.set_gauge("servers.passed-over.rest", gate.rests.passed_over)
+    metrics.replace_gauges("servers.rest-s.", gate.rests.in_force(now))
+    known = gateway.steering.placement.known.servers
+    leaving = {server_id: 1.0 for server_id, _ in gate.departures if server_id in known}
+    metrics.replace_gauges("servers.leaving.", leaving)
+    limits = {server[0]: limit for server, limit in gate.rates.in_force()}
+    metrics.replace_gauges(
+        "servers.limit.", {name: limit.rate for name, limit in limits.items()}
+    )
+    metrics.replace_gauges(
+        "servers.limit-here.", {name: limit.share for name, limit in limits.items()}
+    )
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -9,10 +9,11 @@
 from ..http1_exchange import CallerGoneError, Exchange
 from .admission import check
 from .attempt import CallerBody
-from .attempting import READ_AHEAD, AttemptSeries, RoutedRequest
+from .attempting import READ_AHEAD, AttemptSeries
 from .context import Gateway
 from .frame import Frame, FrameError, read_frame
 from .reply import Final, Reply
+from .routed_request import RoutedRequest
 
 # A caller stops waiting at its deadline; answers leave this much earlier, in seconds,
 # to arrive in time (one way to callers is a few milliseconds).
--- /dev/null
+++ b/lacewingcross/gateway/routed_request.py
@@ -0,0 +1,27 @@
+"""A caller's request whose route is known."""
+
+from dataclasses import dataclass
+
+from ..core.routes import Route
+from ..core.terms import Terms
+from ..http1_exchange import Exchange
+from .attempt import CallerBody
+from .forwarding import OnBehalf
+from .frame import Frame
+
+
+@dataclass(slots=True, frozen=True)
+class RoutedRequest:
+    """A caller's request whose route is known; `deadline` is a monotonic time."""
+
+    exchange: Exchange
+    frame: Frame
+    route: Route
+    terms: Terms
+    on_behalf: OnBehalf
+    body: CallerBody
+    deadline: float
+
+    def left_s(self, now: float) -> float:
+        """Return the time until the deadline, in seconds."""
+        return max(0.0, self.deadline - now)
--- a/lacewingcross/gateway/signals.py
+++ b/lacewingcross/gateway/signals.py
@@ -91,25 +91,3 @@
         source=source,
         age_ms=int(1000 * age_s),
     )
-
-
-def measure_signals(gateway: Gateway) -> None:
-    """Set the gauges of servers that ask for something."""
-    gate = gateway.steering.placement.gate
-    rates = gate.rates
-    limits = {server[0]: limit for server, limit in rates.in_force()}
-    metrics = gateway.metrics
-    metrics.set_gauge("servers.passed-over.limit", rates.passed_over)
-    metrics.set_gauge("servers.passed-over.leaving", gate.departures.passed_over)
-    metrics.set_gauge("servers.passed-over.rest", gate.rests.passed_over)
-    resting = gate.rests.in_force(gateway.now())
-    metrics.replace_gauges("servers.rest-s.", resting)
-    known = gateway.steering.placement.known.servers
-    leaving = {server_id: 1.0 for server_id, _ in gate.departures if server_id in known}
-    metrics.replace_gauges("servers.leaving.", leaving)
-    metrics.replace_gauges(
-        "servers.limit.", {name: limit.rate for name, limit in limits.items()}
-    )
-    metrics.replace_gauges(
-        "servers.limit-here.", {name: limit.share for name, limit in limits.items()}
-    )
