A limit of absurd size costs no stream between hosts

Cause: a server may name twenty digits, and messages between hosts carry numbers up to 1e15. The host that heard it told all others, who refused its streams as those of a host that sends what is none. Numbers of more than nine whole digits are unreadable now. The test fails before (expected a number below 1e15).

--- a/lacewingcross/gateway/signals.py
+++ b/lacewingcross/gateway/signals.py
@@ -66,7 +66,7 @@
     now = gateway.now()
     for server_id, born_ms, rate, age_s in message.items:
         said = rate if rate >= 0.0 else None
-        if rates.told((server_id, born_ms), said, now - age_s, now):
+        if rates.told((server_id, born_ms), said, now - max(0.0, age_s), now):
             _log_limit(gateway, (server_id, born_ms), said, source, age_s)
 
 
--- a/lacewingcross/platform/answer_signals.py
+++ b/lacewingcross/platform/answer_signals.py
@@ -1,6 +1,5 @@
 """Decodes what a backend server says of itself in the head of an answer."""
 
-import math
 import re
 from collections.abc import Collection
 from email.utils import parsedate_to_datetime
@@ -8,9 +7,10 @@
 from ..core.server_signals import NO_SIGNALS, ServerSignals
 from . import headers as ph
 
-# Longer numbers are errors of their sender.
-DIGITS_MOST = 20
-_DECIMAL = re.compile(rf"[0-9]{{1,{DIGITS_MOST}}}(\.[0-9]{{0,{DIGITS_MOST}}})?")
+# Longer numbers, before and behind the point, are errors of their sender.
+WHOLE_DIGITS = 9
+FRACTION_DIGITS = 20
+_DECIMAL = re.compile(rf"[0-9]{{1,{WHOLE_DIGITS}}}(\.[0-9]{{0,{FRACTION_DIGITS}}})?")
 
 
 def read_signals(
@@ -65,5 +65,4 @@
     text = value.decode("latin-1").strip()
     if not _DECIMAL.fullmatch(text):
         return None
-    number = float(text)
-    return number if math.isfinite(number) else None
+    return float(text)
--- a/tests/test_answer_signals.py
+++ b/tests/test_answer_signals.py
@@ -4,8 +4,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lacewingcross.core import messages as msg
 from lacewingcross.core.server_signals import NO_SIGNALS
 from lacewingcross.platform.answer_signals import read_signals
+from lacewingcross.wire import decode, encode
 from tests.gateway_parts import answer, ask, fleet
 from tests.test_gateway import in_loop
 
@@ -62,6 +64,14 @@
     read_signals(503, headers)
 
 
+def test_other_hosts_can_read_the_largest_limit_that_a_server_may_name():
+    for digits in range(1, 25):
+        rate = read_signals(200, [(b"server-limit", b"9" * digits)]).rate
+        if rate is not None:
+            message = msg.ServerLimits([("i-1", 0, rate, 0.0)])
+            assert decode(encode(message)[4:]) == message
+
+
 def test_a_head_without_signals_says_nothing():
     assert read_signals(200, [(b"content-length", b"2")]) is NO_SIGNALS
 
