A server that has just named a limit is asked on, and a large limit bears bursts

Seen: test_a_server_that_names_a_limit_gets_no_more_from_all_hosts_together failed once beside load (20 on 8 cores), then 6 of 30 runs: a caller was refused though the other server named a limit of 1,000 a second.

Cause, by the logs of three of them: a host that hears of a limit for the first time had no credit until its share had grown it, and no share at all until its next review of who serves, half a second later; and a host could save up 1.2 requests however large the limit, so of two requests within 3 ms the second one was refused. Load only made requests come closer together.

Now a host starts with credit for one request, which the bound allows (it counts from seconds after the first word), reckons who serves when it hears of a limit, and may save up its part of what the bound leaves.

--- a/lacewingcross/core/rate_limits.py
+++ b/lacewingcross/core/rate_limits.py
@@ -12,9 +12,10 @@
 from .backend_state import Incarnation
 from .rendezvous import ranked
 
-# Credit that a host saves up at most, in requests. What lies over one request is left
-# to urgent ones: the others wait until there is more than they need.
-CREDIT_MOST = 1.2
+# Credit that a request needs beside its own, in requests, unless it is urgent.
+LEFT_TO_URGENT = 0.2
+# Each host that shares may save up so much credit at least, in requests.
+CREDIT_LEAST = 1.0 + LEFT_TO_URGENT
 # Part of what the bound leaves over the rate itself that saved credit may take up. The
 # rest is for hosts that do not agree yet on who shares, and for what is under way.
 SPARE_PART = 0.6
@@ -55,8 +56,15 @@
 
     def sharers_most(self, rate: float) -> int:
         """Return how many hosts may save up credit for one server."""
+        return max(1, int(self._savings(rate) / CREDIT_LEAST))
+
+    def credit_each(self, rate: float, sharers: int) -> float:
+        """Return the credit that each of some hosts may save up, in requests."""
+        return max(CREDIT_LEAST, self._savings(rate) / sharers)
+
+    def _savings(self, rate: float) -> float:
         spare = rate * self.window_s * self.excess + self.slack
-        return max(1, int(spare * SPARE_PART / CREDIT_MOST))
+        return spare * SPARE_PART
 
 
 @dataclass(slots=True)
@@ -66,7 +74,7 @@
     `at` is when it was known to hold, by this host's clock: when a naming answer came,
     or when the request was sent that was answered without a name. `own` tells that this
     host heard it itself, `tried_at` when it last sent a request without having a share;
-    `turn` is its turn to do so, of `turns`.
+    `turn` is its turn to do so, of `turns`. It saves up `credit_most` requests.
     """
 
     rate: float | None
@@ -74,6 +82,7 @@
     own: bool
     share: float = 0.0
     credit: float = 0.0
+    credit_most: float = CREDIT_LEAST
     credited_at: float = 0.0
     tried_at: float = float("-inf")
     turn: int = 0
@@ -82,7 +91,7 @@
     def credit_now(self, now: float) -> float:
         """Return the credit of this host, in requests."""
         grown = self.credit + self.share * (now - self.credited_at)
-        return min(CREDIT_MOST, grown)
+        return min(self.credit_most, grown)
 
     def settle(self, now: float) -> None:
         """Add the credit that has grown since it was settled last."""
@@ -169,7 +178,8 @@
         if known is None:
             if rate is None:
                 return False
-            known = RateLimit(None, at, own, credited_at=now)
+            # The bound counts from some seconds after the first word on.
+            known = RateLimit(None, at, own, credit=CREDIT_LEAST, credited_at=now)
             self._by_server[server] = known
         elif at <= known.at:
             return False
@@ -215,7 +225,9 @@
         serves = self._own in self._hosts
         place = order.index(self._own) if serves else len(order)
         shares = serves and place < most
-        limit.share = rate / min(most, len(order)) if shares else 0.0
+        sharers = max(1, min(most, len(order)))
+        limit.share = rate / sharers if shares else 0.0
+        limit.credit_most = self._bound.credit_each(rate, sharers)
         limit.turn = place - most if serves else NEVER
         limit.turns = max(1, len(order) - most + 1)
 
@@ -250,7 +262,7 @@
         if limit is None or limit.rate is None:
             return True
         if limit.share > 0.0:
-            allowed = limit.credit_now(now) >= (1.0 if urgent else CREDIT_MOST)
+            allowed = limit.credit_now(now) >= (1.0 if urgent else CREDIT_LEAST)
         else:
             allowed = self._may_try(limit, now)
         self.passed_over += not allowed
@@ -288,4 +300,4 @@
             return 0.0
         if limit.share <= 0.0:
             return float("inf")
-        return max(0.0, CREDIT_MOST - limit.credit_now(now)) / limit.share
+        return max(0.0, CREDIT_LEAST - limit.credit_now(now)) / limit.share
--- a/lacewingcross/gateway/signals.py
+++ b/lacewingcross/gateway/signals.py
@@ -3,6 +3,7 @@
 from .. import logs
 from ..core import messages as msg
 from ..core.backend_state import Incarnation, Server
+from ..core.duties import hosts_that_serve
 from ..http1_client import ResponseHead
 from ..platform.answer_signals import read_signals
 from .attempt import MISDIRECTED
@@ -33,7 +34,7 @@
     if "limit" in said.unreadable:
         return
     if gate.rates.heard(incarnation, said.rate, asked_at, gateway.now()):
-        _log_limit(gateway, incarnation, said.rate, OWN)
+        _limit_changed(gateway, incarnation, said.rate, OWN)
 
 
 def _learn_rest(gateway: Gateway, server: Incarnation, rest_s: float) -> None:
@@ -67,21 +68,25 @@
     for server_id, born_ms, rate, age_s in message.items:
         said = rate if rate >= 0.0 else None
         if rates.told((server_id, born_ms), said, now - max(0.0, age_s), now):
-            _log_limit(gateway, (server_id, born_ms), said, source, age_s)
+            _limit_changed(gateway, (server_id, born_ms), said, source, age_s)
 
 
 def _log_leaving(server: Incarnation, source: str) -> None:
     logs.event("server-leaving", server=server[0], born_ms=server[1], source=source)
 
 
-def _log_limit(
+def _limit_changed(
     gateway: Gateway,
     server: Incarnation,
     rate: float | None,
     source: str,
     age_s: float = 0.0,
 ) -> None:
-    here = gateway.steering.placement.gate.rates.share_of(server)
+    """Reckon this host's share by who serves now, and write what is believed."""
+    rates = gateway.steering.placement.gate.rates
+    now = gateway.now()
+    rates.set_hosts(hosts_that_serve(gateway.roster, now), now)
+    here = rates.share_of(server)
     logs.event(
         "server-limit",
         server=server[0],
