--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -166,6 +166,25 @@
     world.ledger.signals.by_server[server.server_id].limit_ended = world.now()
 
 
+async def _server_leaving_word(world: World, fault: Fault) -> None:
+    """Let a server leave by its answers alone; the store is not told before it ends."""
+    server = _server(world, fault)
+    if server.leaving or server.mood.leaving_word:
+        return
+    await world.add_server(server.service, server.domain)
+    server.mood.leaving_word = True
+    await asyncio.sleep(fault.for_s)
+    await world.drop_server(server)
+
+
+async def _server_rest(world: World, fault: Fault) -> None:
+    """Let a server turn everything away, and ask for rest, half of the time."""
+    mood = _server(world, fault).mood
+    mood.rest_s = fault.for_s / 2
+    await asyncio.sleep(fault.for_s / 2)
+    mood.rest_s = 0.0
+
+
 # The store and the operators
 
 
@@ -235,6 +254,8 @@
     "server-slow": _mood(slow=5.0),
     "server-shed": _mood(shed=True),
     "server-limit": _server_limit,
+    "server-rest": _server_rest,
+    "server-leaving-word": _server_leaving_word,
     "store-busy": _store(down="busy"),
     "store-many": _store(down="many"),
     "store-reset": _store(down="reset"),
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -35,6 +35,10 @@
     dark: bool = False
     # Requests a second that it names as its limit.
     limit: float | None = None
+    # Whether it says in its answers that it leaves; the store is not told.
+    leaving_word: bool = False
+    # It turns all requests away and asks for so much rest, in seconds.
+    rest_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -108,9 +112,14 @@
             await exchange.respond(421, [(ph.NOT_RUN, b"1")], b"")
             return
         asked = self.ledger.signals.by_server[self.server_id]
-        asked.reached.append(Reached(self.now(), self._host_of(request_id)))
+        sent = self.ledger.sent[request_id]
+        asked.reached.append(Reached(self.now(), sent.host, sent.at))
         body = await read_body(exchange, MAX_BODY)
-        if self.mood.shed or (self._slots.locked() and self._waiting >= QUEUE):
+        if (
+            self.mood.shed
+            or self.mood.rest_s
+            or (self._slots.locked() and self._waiting >= QUEUE)
+        ):
             await self._refuse(exchange, request_id)
             return
         self._waiting += 1
@@ -123,20 +132,26 @@
         finally:
             self._slots.release()
 
-    def _host_of(self, request_id: str) -> int:
-        return self.ledger.sent[request_id].host
-
     def _signals(self, request_id: str) -> hd.HeaderList:
         """Return what the server asks for in an answer, and note it."""
-        if self.mood.limit is None:
-            return []
         asked = self.ledger.signals.by_server[self.server_id]
-        word = (self.now(), self._host_of(request_id), self.mood.limit)
-        asked.limits.append(word)
-        return [(ph.SERVER_LIMIT, str(self.mood.limit).encode())]
+        host = self.ledger.sent[request_id].host
+        fields = []
+        if self.mood.limit is not None:
+            asked.limits.append((self.now(), host, self.mood.limit))
+            fields.append((ph.SERVER_LIMIT, str(self.mood.limit).encode()))
+        if self.mood.leaving_word:
+            asked.left.setdefault(host, self.now())
+            fields.append((ph.SERVER_LEAVING, b"1"))
+        return fields
 
     async def _refuse(self, exchange: Exchange, request_id: str) -> None:
         fields = [(ph.NOT_RUN, b"1"), *self._signals(request_id)]
+        if self.mood.rest_s:
+            asked = self.ledger.signals.by_server[self.server_id]
+            host = self.ledger.sent[request_id].host
+            asked.rests.append((self.now(), host, self.mood.rest_s))
+            fields.append((ph.RETRY_AFTER, f"{self.mood.rest_s:.3f}".encode()))
         await exchange.respond(503, fields, b"")
 
     async def _run(self, exchange: Exchange, request_id: str, body: bytes) -> None:
--- a/lacewingcross/gateway/signals.py
+++ b/lacewingcross/gateway/signals.py
@@ -3,6 +3,7 @@
 from .. import logs
 from ..core import messages as msg
 from ..core.backend_state import Incarnation, Server
+from ..core.duties import hosts_that_serve
 from ..http1_client import ResponseHead
 from ..platform.answer_signals import read_signals
 from .attempt import MISDIRECTED
@@ -33,7 +34,7 @@
     if "limit" in said.unreadable:
         return
     if gate.rates.heard(incarnation, said.rate, asked_at, gateway.now()):
-        _log_limit(gateway, incarnation, said.rate, OWN)
+        _limit_changed(gateway, incarnation, said.rate, OWN)
 
 
 def _learn_rest(gateway: Gateway, server: Incarnation, rest_s: float) -> None:
@@ -66,22 +67,26 @@
     now = gateway.now()
     for server_id, born_ms, rate, age_s in message.items:
         said = rate if rate >= 0.0 else None
-        if rates.told((server_id, born_ms), said, now - age_s, now):
-            _log_limit(gateway, (server_id, born_ms), said, source, age_s)
+        if rates.told((server_id, born_ms), said, now - max(0.0, age_s), now):
+            _limit_changed(gateway, (server_id, born_ms), said, source, age_s)
 
 
 def _log_leaving(server: Incarnation, source: str) -> None:
     logs.event("server-leaving", server=server[0], born_ms=server[1], source=source)
 
 
-def _log_limit(
+def _limit_changed(
     gateway: Gateway,
     server: Incarnation,
     rate: float | None,
     source: str,
     age_s: float = 0.0,
 ) -> None:
-    here = gateway.steering.placement.gate.rates.share_of(server)
+    """Reckon this host's share by who serves now, and write what is believed."""
+    rates = gateway.steering.placement.gate.rates
+    now = gateway.now()
+    rates.set_hosts(hosts_that_serve(gateway.roster, now), now)
+    here = rates.share_of(server)
     logs.event(
         "server-limit",
         server=server[0],
@@ -91,25 +96,3 @@
         source=source,
         age_ms=int(1000 * age_s),
     )
-
-
-def measure_signals(gateway: Gateway) -> None:
-    """Set the gauges of servers that ask for something."""
-    gate = gateway.steering.placement.gate
-    rates = gate.rates
-    limits = {server[0]: limit for server, limit in rates.in_force()}
-    metrics = gateway.metrics
-    metrics.set_gauge("servers.passed-over.limit", rates.passed_over)
-    metrics.set_gauge("servers.passed-over.leaving", gate.departures.passed_over)
-    metrics.set_gauge("servers.passed-over.rest", gate.rests.passed_over)
-    resting = gate.rests.in_force(gateway.now())
-    metrics.replace_gauges("servers.rest-s.", resting)
-    known = gateway.steering.placement.known.servers
-    leaving = {server_id: 1.0 for server_id, _ in gate.departures if server_id in known}
-    metrics.replace_gauges("servers.leaving.", leaving)
-    metrics.replace_gauges(
-        "servers.limit.", {name: limit.rate for name, limit in limits.items()}
-    )
-    metrics.replace_gauges(
-        "servers.limit-here.", {name: limit.share for name, limit in limits.items()}
-    )
