--- a/tests/limit_model.py
+++ b/tests/limit_model.py
@@ -34,16 +34,17 @@
         self.started_at = {}
         self.arrivals = []
         self.hosts = {}
+        self.views = {}
         self._numbers = itertools.count()
         self._events = []
-        for name in [f"h{number}" for number in range(count)]:
-            self.start(name, [f"h{number}" for number in range(count)])
+        names = [f"h{number}" for number in range(count)]
+        for name in names:
+            self.start(name, names)
 
     def start(self, name, view):
         """Start a host, or start it again: it remembers nothing."""
         self.hosts[name] = RateLimits(name)
         self.hosts[name].set_hosts(frozenset(view), self.now)
-        self.views = getattr(self, "views", {})
         self.views[name] = set(view)
         self.heard[name] = []
         self.started_at[name] = self.now
