Test of the hosts that callers are told of waits until all of them serve

Traced: the look-up came while this host or another one was still starting, and such a host is not named, as it should be. What the look-up must name is asked for as strictly as before.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -398,6 +398,8 @@
             lambda: (
                 len(entries) == 2
                 and all(entry.live(first.gateway.now()) for entry in entries.values())
+                and not any(entry.starting for entry in entries.values())
+                and not first.gateway.roster.starting
             )
         )
         got = json.loads((await resolve(first)).body)
