Log the era and revision of what a host reads from the store

No log line and no metric had the revision of an answer that changes nothing, nor that of the copy, so a store whose revisions went back could not be told from a listing that is applied wrongly. `store-read` has both and the store's era (header `Store-Era`) for each listing, and for each answer that is older than the copy; the gauges `store.era` and `store.as_of.*` have them on the metrics page. No decision changes.

--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -242,6 +242,7 @@
         metrics.set_gauge("requests.running", self.entry.running_requests)
         metrics.set_gauge("callers.connections", self.entry.server.connections)
         metrics.set_gauge("store.calls", self._store.calls)
+        metrics.set_gauge("store.era", self._store.era)
         measure_host(self.gateway, now)
 
     def reload(self) -> None:
--- a/lacewingcross/gateway/gauges.py
+++ b/lacewingcross/gateway/gauges.py
@@ -1,5 +1,6 @@
 """Sets the gauges of one entry host."""
 
+from ..core.replica import Kind
 from .context import Gateway
 
 
@@ -7,7 +8,8 @@
     """Set the gauges of what a host knows: hosts, servers, requests and the store.
 
     ``hosts.known`` and ``hosts.live`` include the host itself. ``store.age_s`` is the
-    age of this host's copy of the store, in seconds.
+    age of this host's copy of the store, in seconds, and ``store.as_of.`` the revision
+    up to which the copy of a kind of objects is complete.
     """
     placement = gateway.steering.placement
     metrics = gateway.metrics
@@ -19,6 +21,9 @@
     metrics.set_gauge("requests.quarantined", len(quarantine))
     gateway.quota_admission.measure()
     metrics.set_gauge("store.age_s", gateway.steering.store_age(now))
+    for kind in Kind:
+        as_of = gateway.steering.replica.as_of(kind)
+        metrics.set_gauge(f"store.as_of.{kind.name.lower()}", as_of)
     _measure_signals(gateway, now)
 
 
--- a/lacewingcross/gateway/store_follower.py
+++ b/lacewingcross/gateway/store_follower.py
@@ -133,8 +133,20 @@
         lacks more must not consider itself up to date.
         """
         gateway = self._gateway
+        known_as_of = gateway.steering.replica.as_of(update.kind)
         changed = gateway.take(update)
         self._publish(update)
+        if update.whole or update.as_of < known_as_of:
+            logs.event(
+                "store-read",
+                kind=update.kind.name,
+                source=source,
+                era=self._store.era,
+                as_of=update.as_of,
+                known_as_of=known_as_of,
+                objects=len(update.documents),
+                changed=len(changed),
+            )
         log_changes(gateway, update, changed, source)
 
     def _note_failure(self, kind: Kind, exc: PlatformError) -> None:
--- a/lacewingcross/platform/object_api.py
+++ b/lacewingcross/platform/object_api.py
@@ -9,10 +9,12 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
+from .. import headers as hd
 from .. import logs
 from ..errors import PlatformError
 from ..http1_client import HttpClient, HttpError, Response
 from ..http1_json import JSON_TYPE
+from . import headers as names
 
 # Timeout of a call, in seconds. A platform that is only slow answers within a few
 # hundred milliseconds. A longer silence counts as an outage, so that another source of
@@ -65,9 +67,12 @@
     ----------
     calls : int
         Number of calls made.
+    era : int
+        Highest era of the platform in any response so far, errors included; 0 if none
+        stated an era.
     """
 
-    __slots__ = ("_http", "_timeout_s", "calls")
+    __slots__ = ("_http", "_timeout_s", "calls", "era")
 
     def __init__(
         self,
@@ -78,6 +83,7 @@
         self._http = HttpClient(address, ssl)
         self._timeout_s = timeout_s
         self.calls = 0
+        self.era = 0
 
     async def list(self, kind: str, *, stale: bool = False) -> ApiObjects:
         """Read all pages of a listing and return the objects of a kind.
@@ -204,6 +210,7 @@
             may_have_run = exc.sent and method != "GET"
             code = "unknown-outcome" if may_have_run else "unavailable"
             raise PlatformError(code, f"{method} {target}: {exc}") from exc
+        self.era = max(self.era, _stated_era(response))
         return _decode(response, f"{method} {target}")
 
     def close(self) -> None:
@@ -225,6 +232,12 @@
     return path + ("?" + "&".join(pairs) if pairs else "")
 
 
+def _stated_era(response: Response) -> int:
+    """Return the era that a response states; 0 for none that can be read."""
+    text = hd.find(response.headers, names.STORE_ERA)
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 16 else 0
+
+
 def _decode(response: Response, call: str) -> dict:
     try:
         # Other writers may have stored bytes that are not UTF-8. That makes their
--- a/lacewingcross/platform/store.py
+++ b/lacewingcross/platform/store.py
@@ -26,6 +26,11 @@
         """Return the number of calls of the store made so far."""
         return self._api.calls
 
+    @property
+    def era(self) -> int:
+        """Return the highest era that the store has stated, 0 if it states none."""
+        return self._api.era
+
     async def read_all(self, kind: Kind) -> Update:
         """Return all documents of a kind, from a linearizable read."""
         listing = await self._api.list(KIND_PATHS[kind])
