A failing test: changes made after the store is restored are not in force

The stand-in of the store can be backed up and restored: its revisions go back and are given out again, a watch from a lost revision gets 410, and its era rises by one. The test fails on this code: four hosts, a store away for 0.8 s that loses 30 revisions; 2.5 s after the version and the leaving were acknowledged no host has them.

--- a/lacewingcross/http1_json.py
+++ b/lacewingcross/http1_json.py
@@ -2,6 +2,7 @@
 
 import json
 
+from . import headers as hd
 from .errors import UserError
 from .http1_exchange import Exchange
 
@@ -26,10 +27,12 @@
     return b"".join(parts)
 
 
-async def send_json(exchange: Exchange, status: int, data: object) -> None:
-    """Send a response with `data` as JSON."""
+async def send_json(
+    exchange: Exchange, status: int, data: object, headers: hd.HeaderList | None = None
+) -> None:
+    """Send a response with `data` as JSON, and further headers."""
     body = json.dumps(data, separators=(",", ":")).encode() + b"\n"
-    await exchange.respond(status, JSON_TYPE, body)
+    await exchange.respond(status, [*JSON_TYPE, *(headers or [])], body)
 
 
 async def send_error(exchange: Exchange, status: int, code: str, message: str) -> None:
--- a/lacewingcross/standins/object_store.py
+++ b/lacewingcross/standins/object_store.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' platform store: objects by kind and name, watches, faults."""
 
 import asyncio
+import copy
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -8,8 +9,9 @@
 
 from ..errors import UserError
 from ..http1_exchange import Exchange
-from ..http1_json import read_body, send_error, send_json
+from ..http1_json import read_body, send_json
 from ..http1_server import HttpServer
+from ..platform.headers import STORE_ERA
 
 PREFIX = "/v1/objects/"
 PAGE_SIZE = 500
@@ -82,6 +84,15 @@
         return self.lost_writes
 
 
+@dataclass(slots=True, frozen=True)
+class Backup:
+    """A copy of all objects at a revision, and of the history that the store kept."""
+
+    revision: int
+    compacted: int
+    objects: dict[str, dict[str, StoredObject]]
+
+
 @dataclass(slots=True)
 class ObjectStoreStandin:
     """An object store in memory, served on the loopback address.
@@ -94,6 +105,9 @@
         Maximum number of objects in one answer to a list call.
     revision : int
         Revision of the last change.
+    era : int or None
+        Stated in each answer; it rises by one with each restore. None for a store that
+        states no era.
     faults : Faults
         Faults that are switched on.
     calls : int
@@ -103,6 +117,7 @@
     now: Callable[[], float]
     page: int = PAGE_SIZE
     revision: int = 0
+    era: int | None = 1
     faults: Faults = field(default_factory=Faults)
     calls: int = 0
     _objects: dict[str, dict[str, StoredObject]] = field(default_factory=dict)
@@ -157,6 +172,22 @@
                 del objects[name]
         self.wake_watches()
 
+    def backup(self) -> Backup:
+        """Return a copy of all objects, for `restore`."""
+        return Backup(self.revision, self._compacted, copy.deepcopy(self._objects))
+
+    def restore(self, backup: Backup) -> None:
+        """Return to a copy: later changes are lost, and their revisions used again.
+
+        A waiting watch, or a later one, from a lost revision is answered 410.
+        """
+        self.revision = backup.revision
+        self._compacted = backup.compacted
+        self._objects = copy.deepcopy(backup.objects)
+        if self.era is not None:
+            self.era += 1
+        self.wake_watches()
+
     def names(self, kind: str) -> list[str]:
         """Return the names of the objects of a kind."""
         objects = self._objects.get(kind, {}).values()
@@ -189,9 +220,9 @@
         try:
             await self._answer(exchange)
         except UserError as exc:
-            await send_error(exchange, 413, exc.code, exc.message)
+            await self._send_error(exchange, 413, exc.code, exc.message)
         except ValueError as exc:
-            await send_error(exchange, 400, "bad-request", str(exc))
+            await self._send_error(exchange, 400, "bad-request", str(exc))
 
     async def _answer(self, exchange: Exchange) -> None:
         body = await read_body(exchange, MAX_BODY_BYTES)
@@ -213,6 +244,15 @@
             name = name or meta.get("name", "")
             await self._write(exchange, (kind, name), data.get("spec"), expected)
 
+    async def _send(self, exchange: Exchange, status: int, data: object) -> None:
+        headers = [] if self.era is None else [(STORE_ERA, str(self.era).encode())]
+        await send_json(exchange, status, data, headers)
+
+    async def _send_error(
+        self, exchange: Exchange, status: int, code: str, message: str
+    ) -> None:
+        await self._send(exchange, status, {"error": code, "message": message})
+
     async def send_fault(self, exchange: Exchange) -> bool:
         """Fail a call as `Faults.down` says; return whether a fault is set."""
         down = self.faults.down
@@ -222,7 +262,7 @@
             exchange.abort()
         if down in ("busy", "many"):
             status = 503 if down == "busy" else 429
-            await send_json(exchange, status, {"error": down})
+            await self._send(exchange, status, {"error": down})
         return bool(down)
 
     async def _list(self, exchange: Exchange, kind: str, fields: dict) -> None:
@@ -235,7 +275,7 @@
             "has_more": len(listed) > self.page,
             "as_of": self.revision,
         }
-        await send_json(exchange, 200, data)
+        await self._send(exchange, 200, data)
 
     async def _watch(self, exchange: Exchange, kind: str, fields: dict) -> None:
         since = int(fields["watch"])
@@ -243,8 +283,8 @@
         while True:
             if await self.send_fault(exchange):
                 return
-            if since < self._compacted:
-                await send_json(exchange, 410, {"error": "history-gone"})
+            if not self._compacted <= since <= self.revision:
+                await self._send(exchange, 410, {"error": "history-gone"})
                 return
             changed = self._changed
             objects = self._objects.get(kind, {}).values()
@@ -259,14 +299,14 @@
                 continue
         changes.sort(key=lambda obj: obj.revision)
         events = [{"object": obj.as_data(), "deleted": obj.deleted} for obj in changes]
-        await send_json(exchange, 200, {"events": events, "as_of": self.revision})
+        await self._send(exchange, 200, {"events": events, "as_of": self.revision})
 
     async def _get(self, exchange: Exchange, kind: str, name: str) -> None:
         stored = self._objects.get(kind, {}).get(name)
         if stored is None or stored.deleted:
-            await send_json(exchange, 404, {"error": "not-found"})
+            await self._send(exchange, 404, {"error": "not-found"})
             return
-        await send_json(exchange, 200, stored.as_data())
+        await self._send(exchange, 200, stored.as_data())
 
     async def _write(
         self,
@@ -281,12 +321,12 @@
         exists = stored is not None and not stored.deleted
         if method != "POST" and not exists:
             message = f"{kind}/{name}: no such object"
-            await send_error(exchange, 404, "not-found", message)
+            await self._send_error(exchange, 404, "not-found", message)
             return
         if method == "POST" and exists or expected and expected != stored.revision:
             message = f"{kind}/{name}: revision is {stored.revision}"
             data = {"error": "conflict", "message": message, **stored.as_data()}
-            await send_json(exchange, 409, data)
+            await self._send(exchange, 409, data)
             return
         if method == "DELETE":
             self.delete(kind, name)
@@ -295,4 +335,4 @@
         if self.faults.lose_answer():
             exchange.abort()
             return
-        await send_json(exchange, 200, self._objects[kind][name].as_data())
+        await self._send(exchange, 200, self._objects[kind][name].as_data())
--- /dev/null
+++ b/tests/test_restored_store_gateway.py
@@ -0,0 +1,72 @@
+"""A fleet whose store comes back from an older copy, with revisions that go back."""
+
+import asyncio
+
+from lacewingcross.core.replica import Kind
+
+from .gateway_parts import answers_at_once, fleet, until
+from .test_gateway import in_loop
+
+# Time within which a configuration has to be in force and a leaving server left, in
+# seconds.
+BOUND_S = 2.5
+# Number of changes that the store loses when it is restored.
+LOST_CHANGES = 30
+# How long the store is away when it is restored, in seconds.
+AWAY_S = 0.8
+
+
+def version(app):
+    return app.gateway.steering.table.config.version
+
+
+def known(app):
+    return app.gateway.steering.placement.known.servers
+
+
+def seq(app):
+    return app.gateway.steering.replica.get(Kind.SERVER, "i-1").spec["seq"]
+
+
+async def started(made, hosts=4):
+    """Start hosts that know a configuration and two servers."""
+    made.configure()
+    for _ in range(2):
+        await made.add_server(answers_at_once)
+    apps = [await made.add_host() for _ in range(hosts)]
+    for app in apps:
+        await made.ready(app)
+        await until(lambda app=app: len(known(app)) == 2)
+    return apps
+
+
+async def backup_then_changes(made, apps):
+    """Copy the store, change it, and wait until all hosts know the last change."""
+    backup = made.store.backup()
+    for change in range(2, 2 + LOST_CHANGES):
+        made.register("i-1", made.servers[0].address, seq=change)
+    for app in apps:
+        await until(lambda app=app: seq(app) == 1 + LOST_CHANGES)
+    return backup
+
+
+async def restore(made, backup):
+    """Take the store away for a moment, and bring it back from a copy."""
+    made.store.faults.down = "reset"
+    made.store.wake_watches()
+    await asyncio.sleep(AWAY_S)
+    made.store.restore(backup)
+    made.store.faults.down = ""
+
+
+@in_loop
+async def test_changes_after_a_restore_are_in_force_within_their_bound():
+    # Guards against hosts that take the lower revisions after a restore for old ones.
+    async with fleet() as made:
+        apps = await started(made)
+        await restore(made, await backup_then_changes(made, apps))
+        made.configure(version=9)
+        made.register("i-2", made.servers[1].address, state="draining")
+        for app in apps:
+            await until(lambda app=app: version(app) == 9, BOUND_S)
+            await until(lambda app=app: known(app)["i-2"].entry.draining, BOUND_S)
