The list of hosts in a module of its own

store_follower.py kept two things up to date: the copy of the store, and this host's entry in the list of hosts. No behaviour changes; tests mirror the modules.

--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -27,11 +27,12 @@
 from .callers import CallerListener
 from .context import Gateway
 from .gauges import measure_host
+from .host_directory import HostDirectory
 from .pages import PageListener, answer_lookup, answer_metrics, answer_readiness
 from .peers import Peers
 from .quarantine_store import QuarantineStore
 from .settings import GatewaySettings
-from .store_follower import HostDirectory, StoreFollower
+from .store_follower import StoreFollower
 
 INCARNATION_BITS = 31
 # Time between reviews of this host's state once it can serve, in seconds.
--- a/lacewingcross/gateway/store_follower.py
+++ b/lacewingcross/gateway/store_follower.py
@@ -1,4 +1,4 @@
-"""Keeps this host's copy of the store and its entry in the list of hosts up to date.
+"""Keeps this host's copy of the store up to date.
 
 A host reads and watches the store itself only while it is elected to watch it.
 Otherwise it gets all changes from other hosts.
@@ -22,16 +22,6 @@
 # The same interval while the host has no objects of that kind yet and cannot serve, in
 # seconds.
 EMPTY_REVIEW_INTERVAL_S = 0.02
-# Interval at which active hosts, and standby hosts without a live relay, read the list
-# of hosts again, in seconds, to find hosts whose `Hello` was missed. The active hosts
-# send the hosts that they find to the standby hosts.
-HOST_LIST_INTERVAL_S = 10.0
-# Interval at which a host that receives messages from no other host reads the list
-# again, in seconds.
-ALONE_INTERVAL_S = 1.0
-# Maximum number of pauses of `ALONE_INTERVAL_S` between reads of the list. After them,
-# a host without live peers uses `HOST_LIST_INTERVAL_S`, since it may be the only host.
-MAX_ALONE_READS = 5
 
 Publish = Callable[[Update], None]
 
@@ -223,113 +213,3 @@
             source=source,
             config=table.config.version if table else 0,
         )
-
-
-class HostDirectory:
-    """Registers this host in the store and finds the other hosts there.
-
-    Parameters
-    ----------
-    gateway : Gateway
-        Shared state of this host.
-    store : ObjectStore
-        Client of the store.
-    """
-
-    __slots__ = ("_gateway", "_alone_reads", "_store")
-
-    def __init__(self, gateway: Gateway, store: ObjectStore) -> None:
-        self._gateway = gateway
-        self._alone_reads = 0
-        self._store = store
-
-    async def run(self) -> None:
-        """Register this host, then read the list of hosts at intervals.
-
-        Once registered, a standby host with a relay that is alive does not read the
-        list: the relay sends it the other hosts.
-        """
-        registered = False
-        backoff = Backoff(self._gateway.steering.rng)
-        while True:
-            try:
-                if not registered:
-                    await self._register()
-                    registered = True
-                elif not self._gateway.roster.has_live_relay(self._gateway.now()):
-                    await self._refresh_list()
-                backoff.reset()
-                await asyncio.sleep(self._choose_pause_s())
-            except PlatformError as exc:
-                self._gateway.metrics.count(f"store.hosts-{exc.code}")
-                await backoff.wait()
-
-    async def _refresh_list(self) -> None:
-        if not await self._read_list(stale=self._has_live_peers()):
-            # This host is missing from the list, or is listed with other fields. An
-            # earlier run of it requested the deletion of its entry, and the store may
-            # carry that out seconds late.
-            await self._store.put_host(self._gateway.roster.own)
-
-    def _has_live_peers(self) -> bool:
-        return len(self._gateway.roster.live(self._gateway.now())) > 1
-
-    def _choose_pause_s(self) -> float:
-        """Choose the time until the list is read again, in seconds.
-
-        Each choice of `ALONE_INTERVAL_S` is counted, see `MAX_ALONE_READS`.
-
-        Guards against hosts that start together, of which the first ones read a list
-        that does not contain an active host yet. They would become standby hosts
-        without any host that sends them updates. They soon read the list again.
-        """
-        if self._has_live_peers() or self._alone_reads >= MAX_ALONE_READS:
-            return HOST_LIST_INTERVAL_S
-        self._alone_reads += 1
-        return ALONE_INTERVAL_S
-
-    async def _register(self) -> None:
-        """Register this host unless it is registered already, and find other hosts.
-
-        A host that is not in the list adds itself and reads the list after that: of two
-        hosts that start together, at least one finds the other and sends it a `Hello`.
-        A host that was killed is still in the list when it starts again. It reads the
-        list first, finds itself there and does not write its entry. That saves two of
-        six calls when a fleet starts again. When the whole system starts for the first
-        time, no host is registered, so the list is not read first.
-        """
-        if not self._gateway.cfg.first_start and await self._read_list(stale=False):
-            self._gateway.roster.was_listed = True
-            return
-        await self._store.put_host(self._gateway.roster.own)
-        await self._read_list(stale=False)
-
-    async def _read_list(self, *, stale: bool) -> bool:
-        """Add the registered hosts to the roster and update this host's rank.
-
-        Returns
-        -------
-        registered : bool
-            Whether this host is in the list with its present fields.
-        """
-        roster = self._gateway.roster
-        now = self._gateway.now()
-        infos = await self._store.hosts(stale=stale)
-        for info in infos:
-            if roster.learn(info, now):
-                logs.event("host-learnt", host_id=info.host_id, peer=info.peer)
-        roster.listed = True
-        roster.review(now)
-        self._gateway.review_rank(now)
-        self._gateway.hosts_changed()
-        return roster.own in infos
-
-    async def leave(self) -> None:
-        """Remove this host from the list of entry hosts in the store.
-
-        A failure is logged and not raised.
-        """
-        try:
-            await self._store.delete_host(self._gateway.roster.own.host_id)
-        except PlatformError as exc:
-            logs.event("host-not-unnamed", "WARNING", code=exc.code, why=exc.message)
--- a/tests/test_store_follower.py
+++ b/tests/test_host_directory.py
@@ -9,7 +9,7 @@
 
 from lacewingcross.core.membership import HostInfo
 from lacewingcross.core.roster import Roster
-from lacewingcross.gateway.store_follower import HostDirectory
+from lacewingcross.gateway.host_directory import HostDirectory
 
 OWN = HostInfo("host-0", "a", "a1", "10.0.0.1:1", "10.0.0.1:2")
 OTHER = HostInfo("host-1", "a", "a1", "10.0.0.2:1", "10.0.0.2:2")
