Name the header of the store's era next to its reader, with tests of it

Tests: an era that cannot be read, a store without eras, errors that tell it, a write acknowledged in an earlier era, pages of two eras.

--- a/lacewingcross/platform/headers.py
+++ b/lacewingcross/platform/headers.py
@@ -23,9 +23,6 @@
 # this host, in seconds or as a date.
 RETRY_AFTER = b"retry-after"
 BACKOFF_STATUSES = frozenset((429, 503))
-# Era of the store: a whole number that rises by one whenever the store comes back from
-# an older copy. It is in every response of the store.
-STORE_ERA = b"store-era"
 # When a response was made, by the clock of the backend server.
 DATE = b"date"
 # Headers with signals of a backend server, other than its load.
--- a/lacewingcross/platform/object_api.py
+++ b/lacewingcross/platform/object_api.py
@@ -17,12 +17,16 @@
 from ..errors import PlatformError
 from ..http1_client import HttpClient, HttpError, Response
 from ..http1_json import JSON_TYPE
-from . import headers as names
 
 # Timeout of a call, in seconds. A platform that is only slow answers within a few
 # hundred milliseconds. A longer silence counts as an outage, so that another source of
 # the data, such as another host, is used in time.
 CALL_TIMEOUT_S = 1.0
+# Header of every response of the platform: a whole number that rises by one whenever
+# the platform comes back from an older copy of its objects.
+STORE_ERA = b"store-era"
+# Largest number of digits in an era that is read.
+MAX_ERA_DIGITS = 15
 # How often a listing is begun again because the platform was restored between two of
 # its pages.
 MAX_LISTING_STARTS = 3
@@ -282,8 +286,9 @@
 
 def _stated_era(response: Response) -> int:
     """Return the era that a response states; 0 for none that can be read."""
-    text = hd.find(response.headers, names.STORE_ERA)
-    return int(text) if text.isascii() and text.isdigit() and len(text) < 16 else 0
+    text = hd.find(response.headers, STORE_ERA)
+    readable = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+    return int(text) if readable else 0
 
 
 def _decode(response: Response, call: str) -> dict:
--- a/lacewingcross/standins/object_store.py
+++ b/lacewingcross/standins/object_store.py
@@ -11,7 +11,7 @@
 from ..http1_exchange import Exchange
 from ..http1_json import read_body, send_json
 from ..http1_server import HttpServer
-from ..platform.headers import STORE_ERA
+from ..platform.object_api import STORE_ERA
 
 PREFIX = "/v1/objects/"
 PAGE_SIZE = 500
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lacewingcross.core.store_position import StorePosition
 from lacewingcross.errors import PlatformError
 from lacewingcross.platform.object_api import ObjectApi
 from lacewingcross.platform_client import PlatformClient
@@ -126,3 +127,68 @@
         assert error_code(caught) == "compacted"
 
     with_api(check)
+
+
+def test_an_era_that_cannot_be_read_counts_as_the_latest_known():
+    # Guards against a call that fails, or an era of many digits that outlives all
+    # others, because of a header of an intermediary.
+    async def check(standin, api, _client):
+        await api.list("notes")
+        for era in (None, "x", "-1", "", "9" * 400, "²"):
+            standin.era = era
+            assert (await api.list("notes")).as_of.era == 1
+        standin.era = 3
+        assert (await api.list("notes")).as_of.era == 3
+
+    with_api(check)
+
+
+def test_a_store_without_eras_is_read_as_before():
+    async def check(standin, api, _client):
+        standin.era = None
+        standin.put("notes", "n", 1)
+        assert (await api.list("notes")).as_of == StorePosition(0, 1)
+        assert (await api.watch("notes", 0, 0.1)).as_of == StorePosition(0, 1)
+
+    with_api(check)
+
+
+def test_an_error_tells_the_era():
+    async def check(standin, api, _client):
+        standin.era = 4
+        with pytest.raises(PlatformError):
+            await api.get("notes", "missing")
+        assert api.era == 4
+
+    with_api(check)
+
+
+def test_a_write_acknowledged_in_an_earlier_era_has_an_unknown_outcome():
+    # Guards against a registration that counts as done although the store lost it.
+    async def check(standin, api, _client):
+        api.era = 2
+        with pytest.raises(PlatformError) as caught:
+            await api.create("notes", "n", 1)
+        assert error_code(caught) == "unknown-outcome"
+
+    with_api(check)
+
+
+def test_a_listing_whose_pages_are_of_two_eras_is_begun_again():
+    # Guards against a listing that mixes objects from before and after a restore.
+    async def check(standin, api, _client):
+        standin.page = 1
+        for name in ("a", "b"):
+            standin.put("notes", name, "old")
+        backup = standin.backup()
+        standin.faults.slow_s = 0.02
+        listing = asyncio.ensure_future(api.list("notes"))
+        while standin.calls < 2:
+            await asyncio.sleep(0)
+        standin.restore(backup)
+        standin.put("notes", "a", "new")
+        found = await listing
+        assert [item.spec for item in found.items] == ["new", "old"]
+        assert {item.position.era for item in found.items} == {found.as_of.era} == {2}
+
+    with_api(check)
