Keep servers as hosts knew them while a restored store shows them older

What callers would see: a server that had left before the restore stands in the copy as ready, so requests go to a server that is leaving, or to an address that belongs to another service by now; and servers that only the lost seconds had vanish all at once. Cause: the listing of a restored store was taken like any other. Class: trust in a source that has forgotten what it said.

Change: after a restore, a run of a server that was draining stays so for good (as one that says so itself; other hosts hear of it), an entry of a server that was gone is withheld until the server writes it or the store has kept it for longer than that of a silent server (5 s), and a server that the copy lacks is kept for the two seconds that it has to register again, as after an outage. A second restore restarts these waits.

--- a/lacewingcross/core/replica.py
+++ b/lacewingcross/core/replica.py
@@ -83,6 +83,15 @@
         own = self._copies[update.kind].as_of
         return own.era == update.as_of.era and own >= update.as_of
 
+    def restored_by(self, update: Update) -> bool:
+        """Return whether an update shows that the store was restored since the copy."""
+        own = self._copies[update.kind].as_of
+        return update.whole and own > START and own.era < update.as_of.era
+
+    def documents(self, kind: Kind) -> dict[str, Document]:
+        """Return the documents of a kind by name, those of deleted objects included."""
+        return dict(self._copies[kind].documents)
+
     def known(self, kind: Kind) -> list[Document]:
         """Return the documents of a kind that exist."""
         documents = self._copies[kind].documents.values()
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -1,5 +1,6 @@
 """Copy of the store at one entry host, and the routing state derived from it."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 from .placement import Placement
 from .randomness import RandomSource
 from .replica import Document, Kind, Replica, Update
+from .restored_entries import RestoredEntries
 from .routes import CallerLimits, Configuration, Route, RouteTable
 from .splits import Splitter
 from .store_position import START
@@ -90,6 +92,7 @@
         "_kept_until",
         "_least_urgent",
         "_outage_ended_at",
+        "_restored_entries",
         "_retry_extra",
         "_retry_ratio",
         "_splitters",
@@ -129,6 +132,7 @@
         # When the store last confirmed the copy of a kind of objects.
         self._confirmed_at: dict[Kind, float] = {}
         self._outage_ended_at = float("-inf")
+        self._restored_entries = RestoredEntries()
         self.rejected: list[Rejected] = []
 
     def take(self, update: Update, now: float, *, fresh: bool = True) -> list[Document]:
@@ -144,12 +148,44 @@
             Whether the update comes from the store right now. The copy of another host
             may be old.
         """
+        restored = self.replica.restored_by(update)
+        before = self.replica.documents(update.kind) if restored else {}
         changed = self.replica.apply(update)
         if fresh and self.replica.covers(update):
             self._confirm(update.kind, now)
-        self._apply(changed, now)
+        if restored and update.kind is Kind.SERVER:
+            self._restart_waits(now)
+            self._apply(list(self._without_gone(changed, before, now)), now)
+        else:
+            self._apply(changed, now)
         return changed
 
+    def _restart_waits(self, now: float) -> None:
+        """Let servers register again, as after an outage of the store."""
+        self._outage_ended_at = now
+        for name in self._kept_until:
+            self._kept_until[name] = now + LAPSE_GRACE_S
+        self._restored_entries.restart(now)
+
+    def _without_gone(
+        self, changed: list[Document], before: dict[str, Document], now: float
+    ) -> Iterator[Document]:
+        """Yield the changes of a restore, except entries of servers that had left.
+
+        A server that was draining stays so for good, see `Departures`. One that was
+        gone is withheld, see `RestoredEntries`.
+        """
+        known = self.placement.known.servers
+        for doc in changed:
+            server = known.get(doc.name)
+            if server is not None and server.entry.draining:
+                self.placement.gate.departures.observe(server.entry.incarnation)
+            was_gone = doc.name in before and before[doc.name].spec is None
+            if doc.spec is not None and was_gone and server is None:
+                self._restored_entries.withhold(doc, now)
+            else:
+                yield doc
+
     def store_age(self, now: float) -> float:
         """Return the age of the copy of the store, in seconds.
 
@@ -210,6 +246,7 @@
             del self._splitters[name]
 
     def _take_server(self, doc: Document, now: float) -> None:
+        self._restored_entries.discard(doc.name)
         if doc.spec is not None:
             self._kept_until.pop(doc.name, None)
             self.placement.known.put(self._decoder.server(doc.name, doc.spec), now)
@@ -225,7 +262,11 @@
         self.placement.known.drop(doc.name)
 
     def tick(self, now: float) -> list[str]:
-        """Drop the servers that did not register again in time; return their ids."""
+        """Drop the servers that did not register again in time; return their ids.
+
+        Entries of a restored store that have proven to be of live servers are used.
+        """
+        self._apply(list(self._restored_entries.take_proven(now)), now)
         expired = [name for name, until in self._kept_until.items() if now >= until]
         for name in expired:
             del self._kept_until[name]
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -6,6 +6,7 @@
 
 from lacewingcross.core.placement import Placement
 from lacewingcross.core.replica import Document, Kind, Update
+from lacewingcross.core.restored_entries import PROVEN_ALIVE_S
 from lacewingcross.core.steering import LAPSE_GRACE_S, OUTAGE_S, Steering
 from lacewingcross.core.store_position import START, StorePosition
 from lacewingcross.platform.objects import ObjectDecoder
@@ -166,3 +167,96 @@
     assert len(state.rejected) == 3
     apply_document(state, 9, None, 0.0, name="good", kind=Kind.QUARANTINE)
     assert not state.crashes.quarantine
+
+
+def restore(state, now, *entries, kind=Kind.SERVER, era=2, revision=1):
+    """Apply the listing of a restored store; `entries` are names and specs."""
+    as_of = StorePosition(era, revision)
+    docs = [Document(kind, name, as_of, spec) for name, spec in entries]
+    state.take(Update(kind, START, as_of, docs, whole=True), now)
+
+
+def sendable(state, now, name="i-1"):
+    """Return whether requests may go to a server."""
+    server = state.placement.known.servers.get(name)
+    if server is None or server.entry.draining:
+        return False
+    return state.placement.gate.may_send(server.entry.incarnation, now, urgent=True)
+
+
+def test_a_draining_server_that_a_restored_store_shows_as_ready_stays_left():
+    state = make_steering()
+    apply_document(state, 5, ENTRY, 0.0)
+    apply_document(state, 6, {**ENTRY, "state": "draining"}, 1.0)
+    restore(state, 2.0, ("i-1", ENTRY))
+    assert not sendable(state, 2.0)
+    state.tick(60.0)
+    assert not sendable(state, 60.0)
+
+
+def test_a_server_that_was_gone_gets_nothing_while_a_restored_store_shows_it():
+    # Guards against requests to an address that may belong to another service by now.
+    state = make_steering()
+    apply_document(state, 5, ENTRY, 0.0)
+    apply_document(state, 6, None, 1.0)
+    restore(state, 2.0, ("i-1", ENTRY))
+    state.tick(2.0 + PROVEN_ALIVE_S - 0.1)
+    assert not sendable(state, 2.0)
+    # Its entry expires, since the server does not renew it.
+    state.take(
+        Update(
+            Kind.SERVER,
+            StorePosition(2, 1),
+            StorePosition(2, 2),
+            [Document(Kind.SERVER, "i-1", StorePosition(2, 2), None)],
+        ),
+        6.0,
+    )
+    state.tick(60.0)
+    assert not sendable(state, 60.0)
+
+
+def test_a_server_that_the_store_keeps_after_a_restore_is_used():
+    # Guards against a live server that is never used again: its entry had expired, it
+    # renews the one of the copy, and a renewal without a change is no event.
+    state = make_steering()
+    apply_document(state, 5, ENTRY, 0.0)
+    apply_document(state, 6, None, 1.0)
+    restore(state, 2.0, ("i-1", ENTRY))
+    state.tick(2.0 + PROVEN_ALIVE_S)
+    assert sendable(state, 2.0 + PROVEN_ALIVE_S)
+
+
+def test_servers_that_a_restored_store_lacks_are_kept_until_they_register_again():
+    # Guards against a flood of deletions, and against a server that stays for ever.
+    state = make_steering()
+    apply_document(state, 5, ENTRY, 0.0)
+    restore(state, 1.0)
+    assert sendable(state, 1.0)
+    assert state.tick(1.0 + LAPSE_GRACE_S) == ["i-1"]
+    assert not sendable(state, 4.0)
+
+
+def test_a_restore_that_changes_nothing_leaves_servers_warm():
+    # Guards against servers that count as started again, and so as cold, after a
+    # restore.
+    state = make_steering()
+    entry = {**ENTRY, "cold_left_s": 4}
+    apply_document(state, 5, entry, 0.0)
+    restore(state, 20.0, ("i-1", entry))
+    assert not state.placement.known.servers["i-1"].cold(20.0)
+
+
+def test_a_second_restore_restarts_the_waits_of_the_first():
+    # Guards against live servers that are dropped, and gone ones that are used, when
+    # the store is restored twice in a row.
+    state = make_steering()
+    apply_document(state, 5, ENTRY, 0.0, name="lost")
+    apply_document(state, 6, ENTRY, 0.0, name="gone")
+    apply_document(state, 7, None, 0.5, name="gone")
+    restore(state, 1.0, ("gone", ENTRY))
+    restore(state, 1.0 + LAPSE_GRACE_S - 0.1, ("gone", ENTRY), era=3)
+    state.tick(1.0 + LAPSE_GRACE_S + 0.1)
+    assert sendable(state, 4.0, "lost")
+    state.tick(1.0 + PROVEN_ALIVE_S + 0.1)
+    assert not sendable(state, 8.0, "gone")
