Keep evacuations that a restored store lacks until they are written again

What callers would see: requests go to a failure domain whose evacuation was acknowledged just before the store was restored, until the operator writes it again. Cause: its absence from the first listing of the new era counted as its end.

--- a/lacewingcross/core/eligibility.py
+++ b/lacewingcross/core/eligibility.py
@@ -62,6 +62,11 @@
         self._cold_over = over
         self._cold_slack = slack
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the failure domains that get no more requests."""
+        return self._evacuated
+
     def set_evacuated(
         self, domains: Iterable[str], servers: Iterable[Server], now: float
     ) -> None:
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -89,6 +89,7 @@
         "_confirmed_at",
         "_decoder",
         "_host_share",
+        "_kept_evacuations",
         "_kept_until",
         "_least_urgent",
         "_outage_ended_at",
@@ -127,6 +128,8 @@
         self._splitters: dict[str, tuple[Route, Splitter]] = {}
         # When servers whose entries expired in a store outage are dropped, by id.
         self._kept_until: dict[str, float] = {}
+        # When evacuations that a restored store lacks end, by failure domain.
+        self._kept_evacuations: dict[str, float] = {}
         # Rank of the least urgent requests, by service.
         self._least_urgent: dict[str, int] = {}
         # When the store last confirmed the copy of a kind of objects.
@@ -156,10 +159,26 @@
         if restored and update.kind is Kind.SERVER:
             self._restart_waits(now)
             self._apply(list(self._without_gone(changed, before, now)), now)
-        else:
-            self._apply(changed, now)
+            return changed
+        if update.kind is Kind.EVACUATION:
+            self._review_kept_evacuations(changed, now, restored=restored)
+        self._apply(changed, now)
         return changed
 
+    def _review_kept_evacuations(
+        self, changed: list[Document], now: float, *, restored: bool
+    ) -> None:
+        """Keep the evacuations that a restored store lacks for a while.
+
+        Guards against requests to a failure domain whose evacuation was acknowledged
+        before the store was restored: the operator has yet to write it again.
+        """
+        for doc in changed:
+            if restored and doc.spec is None:
+                self._kept_evacuations[doc.name] = now + LAPSE_GRACE_S
+            else:
+                self._kept_evacuations.pop(doc.name, None)
+
     def _restart_waits(self, now: float) -> None:
         """Let servers register again, as after an outage of the store."""
         self._outage_ended_at = now
@@ -216,9 +235,13 @@
                     self._kept_until.pop(doc.name, None)
                     self.placement.known.drop(doc.name)
         if any(doc.kind is Kind.EVACUATION for doc in changed):
-            domains = [doc.name for doc in self.replica.known(Kind.EVACUATION)]
-            servers = self.placement.known.servers.values()
-            self.placement.eligibility.set_evacuated(domains, servers, now)
+            self._set_evacuated(now)
+
+    def _set_evacuated(self, now: float) -> None:
+        domains = {doc.name for doc in self.replica.known(Kind.EVACUATION)}
+        domains.update(self._kept_evacuations)
+        servers = self.placement.known.servers.values()
+        self.placement.eligibility.set_evacuated(domains, servers, now)
 
     def _apply_one(self, doc: Document, now: float) -> None:
         if doc.kind is Kind.CONFIG and doc.spec is not None:
@@ -264,8 +287,14 @@
     def tick(self, now: float) -> list[str]:
         """Drop the servers that did not register again in time; return their ids.
 
-        Entries of a restored store that have proven to be of live servers are used.
+        Entries of a restored store that have proven to be of live servers are used, and
+        evacuations that it lacks and that were not written again end.
         """
+        ended = [name for name, until in self._kept_evacuations.items() if now >= until]
+        for name in ended:
+            del self._kept_evacuations[name]
+        if ended:
+            self._set_evacuated(now)
         self._apply(list(self._restored_entries.take_proven(now)), now)
         expired = [name for name, until in self._kept_until.items() if now >= until]
         for name in expired:
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -30,9 +30,9 @@
     return state
 
 
-def apply_document(state, revision, spec, now, *, name="i-1", kind=Kind.SERVER):
+def apply_document(state, revision, spec, now, *, name="i-1", kind=Kind.SERVER, era=1):
     since = state.replica.as_of(kind)
-    as_of = StorePosition(1, revision)
+    as_of = StorePosition(era, revision)
     doc = Document(kind, name, as_of, spec)
     state.take(Update(kind, since, as_of, [doc]), now)
 
@@ -260,3 +260,37 @@
     assert sendable(state, 4.0, "lost")
     state.tick(1.0 + PROVEN_ALIVE_S + 0.1)
     assert not sendable(state, 8.0, "gone")
+
+
+def evacuated(state):
+    return set(state.placement.eligibility.evacuated)
+
+
+def test_an_evacuation_that_a_restored_store_lacks_lasts_until_it_is_written_again():
+    # Guards against requests to a failure domain whose evacuation was acknowledged.
+    state = make_steering()
+    apply_document(state, 5, {}, 0.0, name="a1", kind=Kind.EVACUATION)
+    restore(state, 1.0, kind=Kind.EVACUATION)
+    assert evacuated(state) == {"a1"}
+    apply_document(state, 2, {}, 1.5, name="a1", kind=Kind.EVACUATION, era=2)
+    state.tick(60.0)
+    assert evacuated(state) == {"a1"}
+    apply_document(state, 3, None, 61.0, name="a1", kind=Kind.EVACUATION, era=2)
+    assert evacuated(state) == set()
+
+
+def test_an_evacuation_that_is_not_written_again_after_a_restore_ends():
+    state = make_steering()
+    apply_document(state, 5, {}, 0.0, name="a1", kind=Kind.EVACUATION)
+    restore(state, 1.0, kind=Kind.EVACUATION)
+    state.tick(1.0 + LAPSE_GRACE_S)
+    assert evacuated(state) == set()
+
+
+def test_an_evacuation_that_a_restored_store_still_has_is_followed():
+    # The operator ended it in the seconds that the store lost, and has to end it again.
+    state = make_steering()
+    apply_document(state, 5, {}, 0.0, name="a1", kind=Kind.EVACUATION)
+    apply_document(state, 6, None, 0.5, name="a1", kind=Kind.EVACUATION)
+    restore(state, 1.0, ("a1", {}), kind=Kind.EVACUATION)
+    assert evacuated(state) == {"a1"}
