Keep quarantines through a restore of the store, and write them again once

What callers would see: a request that crashes servers is served again after a restore, and crashes three more; or a request that was cleared is refused for an hour, since the copy still has its quarantine. Cause: the hosts' own objects were taken from the restored store as if others had written them. Change: what a host knows of a quarantine goes before the copy: one that the copy lacks stays, and the hosts step in by rank to store it again, those that saw a crash included, so that one host writes it; one that was released is not taken back, and the host of rank 0 deletes it again.

Evidence: both tests of test_restored_quarantines.py failed on the code before ("condition never held": not stored again; still in the store), and pass: one creation by four hosts.

--- a/lacewingcross/core/quarantine.py
+++ b/lacewingcross/core/quarantine.py
@@ -33,8 +33,9 @@
     """A request that is refused until `until`, except for trials.
 
     `servers` are the ids of the servers that crashed while they ran the request. `own`
-    says that this host itself observed one of the crashes. `since` is when this host
-    added the quarantine. Times are monotonic, in seconds.
+    says that this host itself observed one of the crashes, and so is the first to store
+    the quarantine. `since` is when this host added the quarantine, or when the store
+    lost it. Times are monotonic, in seconds.
     """
 
     servers: tuple[str, ...]
@@ -125,6 +126,17 @@
         if request in self._by_request:
             self._by_request[request].next_trial_at = now + EARLY_TRIAL_S
 
+    def lost_by_store(self, request: str, now: float) -> None:
+        """Note that the store was restored and lacks a quarantine.
+
+        All hosts know it by now, so they step in one after the other to store it again,
+        and not at once all that saw one of the crashes.
+        """
+        quarantine = self._by_request.get(request)
+        if quarantine is not None:
+            quarantine.own = False
+            quarantine.since = now
+
     def release(self, request: str) -> None:
         """End the quarantine of a request."""
         self._by_request.pop(request, None)
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -160,11 +160,29 @@
             self._restart_waits(now)
             self._apply(list(self._without_gone(changed, before, now)), now)
             return changed
+        if restored and update.kind is Kind.QUARANTINE:
+            self._apply(list(self._without_released(changed, before, now)), now)
+            return changed
         if update.kind is Kind.EVACUATION:
             self._review_kept_evacuations(changed, now, restored=restored)
         self._apply(changed, now)
         return changed
 
+    def _without_released(
+        self, changed: list[Document], before: dict[str, Document], now: float
+    ) -> Iterator[Document]:
+        """Yield the quarantines that a restored store has and this host did not know.
+
+        Hosts write quarantines themselves, so what they know is newer than the copy of
+        the store: a quarantine that it lacks is kept and written again, and one that
+        was released is not taken back but deleted again.
+        """
+        for doc in changed:
+            if doc.spec is None:
+                self.crashes.quarantine.lost_by_store(doc.name, now)
+            elif doc.name not in before:
+                yield doc
+
     def _review_kept_evacuations(
         self, changed: list[Document], now: float, *, restored: bool
     ) -> None:
--- a/lacewingcross/standins/object_store.py
+++ b/lacewingcross/standins/object_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import json
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote
@@ -112,6 +113,8 @@
         Faults that are switched on.
     calls : int
         Number of API calls so far.
+    creations : Counter of str
+        Number of calls that create an object, by kind, refused ones included.
     """
 
     now: Callable[[], float]
@@ -120,6 +123,7 @@
     era: int | None = 1
     faults: Faults = field(default_factory=Faults)
     calls: int = 0
+    creations: Counter[str] = field(default_factory=Counter)
     _objects: dict[str, dict[str, StoredObject]] = field(default_factory=dict)
     _compacted: int = 0
     _deleted: int = 0
@@ -317,6 +321,7 @@
     ) -> None:
         kind, name = kind_and_name
         method = exchange.head.method
+        self.creations[kind] += method == "POST"
         stored = self._objects.get(kind, {}).get(name)
         exists = stored is not None and not stored.deleted
         if method != "POST" and not exists:
--- /dev/null
+++ b/tests/test_restored_quarantines.py
@@ -0,0 +1,63 @@
+"""Quarantines when the store comes back from an older copy."""
+
+import asyncio
+
+from lacewingcross.core.replica import Kind
+
+from .gateway_parts import fleet, until
+from .test_gateway import in_loop
+from .test_restored_store_gateway import restore, started
+
+KIND = "quarantined-requests"
+# Time after which a host of each rank would have stored a quarantine again, in seconds.
+ALL_STEPPED_IN_S = 3.5
+
+
+def ledgers(apps):
+    return [app.gateway.crashes.ledger for app in apps]
+
+
+def quarantine_everywhere(apps, request):
+    for app in apps:
+        now = app.gateway.now()
+        ledger = app.gateway.crashes.ledger
+        ledger.quarantine.add(request, ("i-1",), now, own=True)
+
+
+@in_loop
+async def test_a_quarantine_that_the_store_lost_stays_and_is_stored_again_once():
+    # Guards against a request that crashes three servers again after a restore, and
+    # against a write by every host of the fleet.
+    async with fleet() as made:
+        apps = await started(made)
+        backup = made.store.backup()
+        quarantine_everywhere(apps, "bad")
+        for app in apps:
+            replica = app.gateway.steering.replica
+            await until(lambda replica=replica: replica.known(Kind.QUARANTINE))
+        made.store.creations.clear()
+        await restore(made, backup)
+        await until(lambda: made.store.names(KIND) == ["bad"])
+        await asyncio.sleep(ALL_STEPPED_IN_S)
+        assert made.store.creations[KIND] == 1
+        assert all("bad" in ledger.quarantine for ledger in ledgers(apps))
+
+
+@in_loop
+async def test_a_quarantine_that_was_released_is_not_taken_back_from_the_copy():
+    # Guards against callers that are refused for an hour although their request was
+    # cleared.
+    async with fleet() as made:
+        apps = await started(made)
+        quarantine_everywhere(apps, "cleared")
+        await until(lambda: made.store.names(KIND) == ["cleared"])
+        backup = made.store.backup()
+        for ledger in ledgers(apps):
+            ledger.release("cleared")
+        await until(lambda: made.store.names(KIND) == [])
+        for app in apps:
+            replica = app.gateway.steering.replica
+            await until(lambda replica=replica: not replica.known(Kind.QUARANTINE))
+        await restore(made, backup)
+        await until(lambda: made.store.era == 2 and made.store.names(KIND) == [])
+        assert not any(ledger.quarantine for ledger in ledgers(apps))
