Tell hosts that start after a restore the version that is in force

What callers would see: a host that starts between a restore and the moment in which the operator writes the newer version again serves with the older one of the copy, while all others keep the newer one. Cause: what hosts hand on is their copy of the store, and that has the older version; only the table in force had the newer one. Change: heartbeats carry the version in force, and a host that has every change of the store and yet a lower version asks one peer for it (`VersionPull`, `VersionPush`). Versions are ordered as the operator numbers them, not by positions.

Evidence: test_no_host_serves_an_older_version_while_the_store_has_one fails with the question switched off ("condition never held" for the late host) and passes.

--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -248,8 +248,9 @@
     `starting` means that the sender cannot serve yet, `store_unreachable` that the
     store does not answer the sender, and `subscribes` that the sender requests updates
     from the receiver. `positions` holds, for each `replica.Kind` in order, the store's
-    position up to which the sender has every change. `counts` holds server ids and
-    numbers of requests in flight. If `whole`, it covers all servers, and a server that
+    position up to which the sender has every change, and `config_version` the version
+    of the configuration in force at the sender, 0 for none. `counts` holds server ids
+    and numbers of requests in flight. If `whole`, it covers all servers, and a server that
     is missing has no requests; otherwise it covers the servers whose number has changed
     since the last message. `handled` holds pairs of a server id and a key that the
     server has handled for the first time since the last message. Only active hosts are
@@ -261,6 +262,7 @@
     store_unreachable: bool
     subscribes: bool
     positions: list[StorePosition]
+    config_version: UnsignedInt
     counts: list[tuple[str, int]]
     handled: list[tuple[str, str]]
     whole: bool = True
@@ -305,6 +307,22 @@
     above: StorePosition
 
 
+class VersionPull(_Message, tag=30):
+    """Requests the configuration in force if its version is higher than `above`."""
+
+    above: UnsignedInt
+
+
+class VersionPush(_Message, tag=31):
+    """The configuration in force at the sender, as the JSON text of its object.
+
+    Sent to a host that has every change of the store and yet an older version: the
+    store was restored, and the operator has not written the newer version again.
+    """
+
+    text: str
+
+
 class ServerEnded(_Message, tag=23):
     """Reports the crash of a backend server and the requests that ran on it.
 
@@ -413,6 +431,8 @@
     | Alive
     | StoreChanges
     | StorePull
+    | VersionPull
+    | VersionPush
     | KnownHosts
     | ServerEnded
     | RequestAnswered
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -82,6 +82,8 @@
         Stored objects that could not be decoded.
     table : RouteTable or None
         Routes of the configuration in force; None before the first configuration.
+    config_spec : object
+        Decoded JSON of the configuration in force.
     """
 
     __slots__ = (
@@ -97,6 +99,7 @@
         "_retry_extra",
         "_retry_ratio",
         "_splitters",
+        "config_spec",
         "crashes",
         "host_count",
         "placement",
@@ -119,6 +122,7 @@
         self.crashes = CrashLedger()
         self.rng = rng
         self.table: RouteTable | None = None
+        self.config_spec: object = None
         self.host_count = 1
         self._host_share = 1.0
         self._decoder = decoder
@@ -263,7 +267,7 @@
 
     def _apply_one(self, doc: Document, now: float) -> None:
         if doc.kind is Kind.CONFIG and doc.spec is not None:
-            self._take_configuration(self._decoder.configuration(doc.spec))
+            self.take_configuration(doc.spec)
         elif doc.kind is Kind.SERVER:
             self._take_server(doc, now)
         elif doc.kind is Kind.QUARANTINE:
@@ -276,15 +280,33 @@
             servers = self._decoder.quarantine(doc.name, doc.spec)
             self.crashes.add_stored_quarantine(doc.name, servers, now)
 
-    def _take_configuration(self, config: Configuration) -> None:
-        if self.table is not None and self.table.config.version > config.version:
-            return
+    @property
+    def config_version(self) -> int:
+        """Return the version of the configuration in force, 0 before the first."""
+        return self.table.config.version if self.table else 0
+
+    def take_configuration(self, spec: object) -> bool:
+        """Put a configuration in force unless a later version is; return whether.
+
+        Versions order configurations, not positions in the store: a restored store has
+        an older version until the operator writes the newer one again.
+
+        Raises
+        ------
+        UserError
+            When the configuration cannot be decoded.
+        """
+        config = self._decoder.configuration(spec)
+        if self.config_version > config.version:
+            return False
+        self.config_spec = spec
         self.table = RouteTable(config)
         self.placement.eligibility.set_services(config.services)
         self._least_urgent = _least_urgent(config)
         names = {route.name for route in config.routes}
         for name in [name for name in self._splitters if name not in names]:
             del self._splitters[name]
+        return True
 
     def _take_server(self, doc: Document, now: float) -> None:
         self._restored_entries.discard(doc.name)
--- a/lacewingcross/gateway/context.py
+++ b/lacewingcross/gateway/context.py
@@ -111,10 +111,19 @@
         or by the host that sent it. Another host's copy of the store may be old.
         """
         changed = self.steering.take(update, self.now(), fresh=fresh)
+        self._configure_quotas()
+        return changed
+
+    def take_configuration(self, spec: object) -> bool:
+        """Put a peer's configuration in force unless a later one is; return whether."""
+        taken = self.steering.take_configuration(spec)
+        self._configure_quotas()
+        return taken
+
+    def _configure_quotas(self) -> None:
         table = self.steering.table
         if table is not None:
             self.quotas.configure(table.config.accounts, self.times())
-        return changed
 
     def review_rank(self, now: float) -> None:
         """Update this host's rank among the hosts that may watch the store.
--- a/lacewingcross/gateway/gossip_receiver.py
+++ b/lacewingcross/gateway/gossip_receiver.py
@@ -1,6 +1,7 @@
 """Receives the messages of other entry hosts on the streams that they open."""
 
 import asyncio
+import json
 from collections.abc import Callable
 
 from .. import logs
@@ -9,8 +10,8 @@
 from ..core.membership import HostInfo, member_info
 from ..core.replica import Kind
 from ..core.roster import ALIVE_INTERVAL_S, PeerView
-from ..core.store_position import StorePosition
-from ..errors import FrameError
+from ..core.store_position import START, StorePosition
+from ..errors import FrameError, UserError
 from ..greeting import host_of
 from ..sockets import set_silence_timeout
 from ..wire import read_message
@@ -43,11 +44,19 @@
         Forwards changes of the store, which one host has sent, to other hosts.
     """
 
-    __slots__ = ("_accepted", "_catch_up", "_gateway", "_forward", "_send_to")
+    __slots__ = (
+        "_accepted",
+        "_catch_up",
+        "_forward",
+        "_gateway",
+        "_send_to",
+        "_version_catch_up",
+    )
 
     def __init__(self, gateway: Gateway, send_to: SendTo, forward: Forward) -> None:
         self._accepted: set[asyncio.StreamWriter] = set()
         self._catch_up = CatchUp()
+        self._version_catch_up = CatchUp()
         self._gateway = gateway
         self._forward = forward
         self._send_to = send_to
@@ -96,6 +105,10 @@
             self._handle_changes(info, message, now)
         elif isinstance(message, msg.StorePull):
             self._answer_pull(info, message)
+        elif isinstance(message, msg.VersionPull):
+            self._answer_version_pull(info, message)
+        elif isinstance(message, msg.VersionPush):
+            self._handle_version(info, message)
         elif isinstance(message, msg.KnownHosts):
             self._handle_known_hosts(info, message, now)
         elif isinstance(message, msg.ServerEnded | msg.RequestAnswered):
@@ -139,6 +152,7 @@
         if gateway.cfg.policy.warmth_told:
             placement.known.set_handled(message.handled)
         self._pull_missing(info, message.positions, now)
+        self._pull_version(info, message, now)
 
     def _pull_missing(
         self, info: HostInfo, positions: list[StorePosition], now: float
@@ -149,6 +163,44 @@
             if self._catch_up.should_ask(kind, own, peer, now):
                 self._send_to(info, msg.StorePull(int(kind), own))
 
+    def _pull_version(self, info: HostInfo, message: msg.Alive, now: float) -> None:
+        """Ask for the configuration of a host with a later version in force.
+
+        Guards against a host that starts after a restore of the store and serves with
+        an older version than the other hosts, until the operator writes the newer one
+        again. A host that is only behind the store asks for its changes instead.
+        """
+        steering = self._gateway.steering
+        own_version = steering.config_version
+        own = steering.replica.as_of(Kind.CONFIG)
+        positions = dict(zip(Kind, message.positions, strict=False))
+        behind = own < positions.get(Kind.CONFIG, START)
+        if behind or not 0 < own_version < message.config_version:
+            return
+        if self._version_catch_up.may_ask(Kind.CONFIG, now):
+            self._send_to(info, msg.VersionPull(own_version))
+
+    def _answer_version_pull(self, info: HostInfo, message: msg.VersionPull) -> None:
+        steering = self._gateway.steering
+        if steering.config_version > message.above:
+            text = json.dumps(steering.config_spec)
+            self._send_to(info, msg.VersionPush(text))
+
+    def _handle_version(self, info: HostInfo, message: msg.VersionPush) -> None:
+        gateway = self._gateway
+        before = gateway.steering.config_version
+        try:
+            taken = gateway.take_configuration(json.loads(message.text))
+        except (UserError, ValueError) as exc:
+            gateway.metrics.count("peers.version-refused")
+            logs.event("version-refused", "ERROR", source=info.host_id, why=repr(exc))
+            return
+        if taken:
+            version = gateway.steering.config_version
+            logs.event(
+                "version-taken", source=info.host_id, before=before, config=version
+            )
+
     def _handle_known_hosts(
         self, info: HostInfo, message: msg.KnownHosts, now: float
     ) -> None:
--- a/lacewingcross/gateway/gossip_sender.py
+++ b/lacewingcross/gateway/gossip_sender.py
@@ -155,6 +155,7 @@
             roster.store_unreachable,
             subscribes,
             [replica.as_of(kind) for kind in Kind],
+            self._gateway.steering.config_version,
             list(changed_counts(counts, previous or {})),
             handled or [],
             previous is None,
--- a/tests/test_restored_store_gateway.py
+++ b/tests/test_restored_store_gateway.py
@@ -70,3 +70,25 @@
         for app in apps:
             await until(lambda app=app: version(app) == 9, BOUND_S)
             await until(lambda app=app: known(app)["i-2"].entry.draining, BOUND_S)
+
+
+@in_loop
+async def test_no_host_serves_an_older_version_while_the_store_has_one():
+    # Guards against hosts that go back to the version in the copy, and against one that
+    # starts with it, until the operator writes the newer version again.
+    async with fleet() as made:
+        apps = await started(made, hosts=3)
+        backup = made.store.backup()
+        made.configure(version=7)
+        for app in apps:
+            await until(lambda app=app: version(app) == 7)
+        await restore(made, backup)
+        for app in apps:
+            await until(lambda app=app: app.gateway.steering.replica.era == 2)
+        late = await made.add_host()
+        await made.ready(late)
+        await until(lambda: version(late) == 7, BOUND_S)
+        assert [version(app) for app in apps] == [7, 7, 7]
+        made.configure(version=9)
+        for app in [*apps, late]:
+            await until(lambda app=app: version(app) == 9, BOUND_S)
