--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -250,11 +250,11 @@
     from the receiver. `positions` holds, for each `replica.Kind` in order, the store's
     position up to which the sender has every change, and `config_version` the version
     of the configuration in force at the sender, 0 for none. `counts` holds server ids
-    and numbers of requests in flight. If `whole`, it covers all servers, and a server that
-    is missing has no requests; otherwise it covers the servers whose number has changed
-    since the last message. `handled` holds pairs of a server id and a key that the
-    server has handled for the first time since the last message. Only active hosts are
-    sent `counts` and `handled`.
+    and numbers of requests in flight. If `whole`, it covers all servers, and a server
+    that is missing has no requests; otherwise it covers the servers whose number has
+    changed since the last message. `handled` holds pairs of a server id and a key that
+    the server has handled for the first time since the last message. Only active hosts
+    are sent `counts` and `handled`.
     """
 
     leaving: bool
