Soak: the store comes back from older copies

The copy is 0.3 to 6 s old; the writers are silent for up to 1.5 s after it and then write again what they last wrote. An evacuation that overlaps another of its domain no longer ends with it.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -16,6 +16,8 @@
 KILL_ALL_OUTAGE_S = 1.0
 LINK_DELAY_S = 0.15
 STORE_SLOW_S = 0.25
+# How long the store is away before it comes back from a copy, in seconds.
+RESTORE_AWAY_S = 0.5
 MIN_SERVERS = 2
 
 FaultAction = Callable[[World, Fault], Awaitable[None]]
@@ -212,6 +214,22 @@
     world.store.compact()
 
 
+async def _store_restore(world: World, fault: Fault) -> None:
+    """Let the store lose all changes of the fault's duration.
+
+    It is away for a moment; then its writers write again what they last wrote.
+    """
+    backup = world.store.backup()
+    await asyncio.sleep(fault.for_s)
+    began_at = world.now()
+    world.store.faults.down = "reset"
+    world.store.wake_watches()
+    await asyncio.sleep(RESTORE_AWAY_S)
+    world.store.faults.down = ""
+    await world.restore_store(backup)
+    world.ledger.store_disturbances.add(began_at, world.now(), fault.kind)
+
+
 async def _accept_new_version(world: World, _fault: Fault) -> None:
     world.accept_new_version()
 
@@ -219,10 +237,10 @@
 async def _evacuate(world: World, fault: Fault) -> None:
     domains = sorted({server.domain for server in world.servers})
     domain = domains[fault.target % len(domains)]
-    world.store.put("evacuations", domain, {})
+    world.begin_evacuation(domain)
     began_at = world.now()
     await asyncio.sleep(fault.for_s + 3.0)
-    world.store.delete("evacuations", domain)
+    world.end_evacuation(domain)
     periods = world.ledger.evacuated.setdefault(domain, [])
     periods.append((began_at, world.now()))
 
@@ -266,6 +284,7 @@
     "store-slow": _store(slow_s=STORE_SLOW_S),
     "store-lost-writes": _store(lost_writes=True),
     "store-compact": _store_compact,
+    "store-restore": _store_restore,
     "evacuate": _evacuate,
     "change": _accept_new_version,
     "kill-all": _kill_all,
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -43,6 +43,10 @@
 # that the server is draining, a back-off. They are drawn separately from the faults.
 SIGNAL_KINDS = ("server-limit", "server-leaving-word", "server-rest")
 SIGNALS_PER_FAULT = 0.25
+# The store comes back from a copy that is as old as the fault's duration. These faults
+# are drawn separately too; some of them follow each other closely.
+RESTORE_KIND = "store-restore"
+RESTORES_PER_FAULT = 0.1
 FLEET_KINDS = (
     "store-busy",
     "store-many",
@@ -101,6 +105,8 @@
     faults = [*_draw_series(random.Random(seed), length_s, per_s)]
     rng = random.Random(f"signals-{seed}")
     faults += _draw_signals(rng, length_s, per_s * SIGNALS_PER_FAULT)
+    rng = random.Random(f"restores-{seed}")
+    faults += _draw_restores(rng, length_s, per_s * RESTORES_PER_FAULT)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -113,6 +119,18 @@
         yield Fault(at, kind, rng.randrange(1 << 16), for_s)
 
 
+def _draw_restores(
+    rng: random.Random, length_s: float, per_s: float
+) -> Iterator[Fault]:
+    """Yield at least one restore; half of them are followed by a second one."""
+    for _ in range(max(1, round(length_s * per_s))):
+        at = UNDISTURBED_START_S + rng.uniform(0.0, length_s)
+        yield Fault(at, RESTORE_KIND, 0, rng.uniform(0.3, MAX_FAULT_S))
+        if rng.random() < 0.5:
+            at += rng.uniform(0.0, MAX_FAULT_S)
+            yield Fault(at, RESTORE_KIND, 0, rng.uniform(0.3, MAX_FAULT_S))
+
+
 def _draw_series(rng: random.Random, length_s: float, per_s: float) -> Iterator[Fault]:
     """Yield single faults, and overlapping series of faults of one kind."""
     max_faults = max(1, round(length_s * per_s))
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -12,13 +12,14 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from lacewingcross.embedded import free_ports
 from lacewingcross.gateway.settings import GatewaySettings
-from lacewingcross.standins.object_store import ObjectStoreStandin
+from lacewingcross.standins.object_store import Backup, ObjectStoreStandin
 
 from .accounts import stored_accounts
 from .ledger import Ledger
@@ -37,6 +38,9 @@
 RESTART_S = 0.4
 # Seconds for which a draining server still serves after the store accepted its report.
 SERVES_ON_S = 3.5
+# Longest time after a restore in which servers and operators have not yet written again
+# what they last wrote, in seconds.
+WRITE_AGAIN_S = 1.5
 # Seconds after which a server that crashed while it ran a request is replaced by a
 # server with another id.
 REPLACEMENT_DELAY_S = 2.0
@@ -93,6 +97,8 @@
     _servers_started: int = 0
     _ports: Iterator[int] = field(default_factory=free_ports)
     _last_heartbeats: dict[str, float] = field(default_factory=dict)
+    _evacuated: Counter[str] = field(default_factory=Counter)
+    _writers_silent: int = 0
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def now(self) -> float:
@@ -202,7 +208,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             now = self.now()
-            if not self.store.faults.down:
+            if not self.store.faults.down and not self._writers_silent:
                 for server in self.servers:
                     if not server.behaviour.unresponsive:
                         self._last_heartbeats[server.server_id] = now
@@ -227,9 +233,42 @@
             if lag > TICK_S:
                 self.ledger.loop_lags.append((self.now(), lag))
 
+    async def restore_store(self, backup: Backup) -> None:
+        """Restore the store, and return when its writers have written again."""
+        self.store.restore(backup)
+        now = self.now()
+        for server_id in self.store.names("servers"):
+            # Entries that only the copy has expire like those of silent servers.
+            self._last_heartbeats.setdefault(server_id, now)
+        self._writers_silent += 1
+        await asyncio.sleep(self.rng.uniform(0.0, WRITE_AGAIN_S))
+        self._writers_silent -= 1
+        self.store.put("config", "main", self._configuration())
+        for domain in DOMAINS:
+            if self._evacuated[domain]:
+                self.store.put("evacuations", domain, {})
+            else:
+                self.store.delete("evacuations", domain)
+
+    def begin_evacuation(self, domain: str) -> None:
+        """Request that no requests go to a failure domain."""
+        self._evacuated[domain] += 1
+        self.store.put("evacuations", domain, {})
+
+    def end_evacuation(self, domain: str) -> None:
+        """Take back one of the evacuations of a failure domain."""
+        self._evacuated[domain] -= 1
+        if not self._evacuated[domain]:
+            self.store.delete("evacuations", domain)
+
     def accept_new_version(self) -> None:
         """Store a new configuration version, with a route that only it contains."""
         self.version += 1
+        self.store.put("config", "main", self._configuration())
+        self.ledger.accepted[self.version] = self.now()
+
+    def _configuration(self) -> dict:
+        """Return the object of the present version."""
         route = {
             "host": HOST_NAME,
             "timeout_s": 2.0,
@@ -243,7 +282,7 @@
         booking = {**route, "route_type": "unsafe", "service": "booking"}
         upload = {**booking, "route_type": "upload"}
         only = f"/only-{self.version}/"
-        spec = {
+        return {
             "version": f"r{self.version}",
             "routes": {
                 "read": {**read, "path_prefix": "/calendar/"},
@@ -268,8 +307,6 @@
             },
             "tenants": stored_accounts(self.version),
         }
-        self.store.put("config", "main", spec)
-        self.ledger.accepted[self.version] = self.now()
 
     async def add_server(
         self, service: str, domain: str, address: str = "127.0.0.1:0"
