A listing is complete up to the revision of its first page

Cause: the listing counted as complete up to the revision of its last page, but an object of an earlier page may have changed in between, and the watch goes on after that. Change: it counts as complete up to the first page's revision; what changed since comes with the watch, which may repeat objects that later pages had.

Evidence: test_a_change_between_two_pages_of_a_listing_is_not_missed failed on the code before (no change in the watch) and passes.

--- a/lacewingcross/platform/object_api.py
+++ b/lacewingcross/platform/object_api.py
@@ -127,25 +127,31 @@
         raise PlatformError("unavailable", f"{kind}: restored during each listing")
 
     async def _list_in_one_era(self, kind: str, *, stale: bool) -> ApiObjects | None:
-        """Read all pages; return None if they are not of the same era."""
+        """Read all pages; return None if they are not of the same era.
+
+        The result is complete up to the revision of the first page only: an object of
+        that page may have changed before the next one was read.
+        """
         objects: list[ApiObject] = []
-        era = None
+        as_of: StorePosition | None = None
         while True:
             query = {
                 "after": objects[-1].name if objects else "",
                 "allow_stale": "1" if stale else "",
             }
             answer = await self._call("GET", _target(kind, query=query))
-            if era not in (None, answer.era):
+            as_of = as_of or answer.position(answer.data["as_of"])
+            if as_of.era != answer.era:
                 return None
-            era = answer.era
-            items = [_decode_or_none(kind, item, era) for item in answer.data["items"]]
+            items = [
+                _decode_or_none(kind, item, as_of.era) for item in answer.data["items"]
+            ]
             readable = [item for item in items if item is not None]
             objects += readable
             # The next page starts after the last readable name. If a page has none, the
             # listing ends there, also if the platform has more pages.
             if not answer.data.get("has_more") or not readable:
-                return ApiObjects(answer.position(answer.data["as_of"]), objects)
+                return ApiObjects(as_of, objects)
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> ApiObjects:
         """Wait for changes of a kind after a revision.
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -192,3 +192,22 @@
         assert {item.position.era for item in found.items} == {found.as_of.era} == {2}
 
     with_api(check)
+
+
+def test_a_change_between_two_pages_of_a_listing_is_not_missed():
+    # Guards against a change that never takes effect: it is to an object of a page that
+    # was read already, and the watch goes on from the revision of a later page.
+    async def check(standin, api, _client):
+        standin.page = 1
+        for name in ("a", "b"):
+            standin.put("notes", name, "old")
+        standin.faults.slow_s = 0.02
+        listing = asyncio.ensure_future(api.list("notes"))
+        while standin.calls < 2:
+            await asyncio.sleep(0)
+        standin.put("notes", "a", "new")
+        found = await listing
+        changes = await api.watch("notes", found.as_of.revision, 0.1)
+        assert [(item.name, item.spec) for item in changes.items] == [("a", "new")]
+
+    with_api(check)
