Versions of resources rise when the store is restored

Change: a version is made from the position in the store's history in one place (`StorePosition.version`) and orders as positions do, so the configuration, its messages, reports and commands need no change; a watch across a restore fails as compacted and the resources are listed again; a write at a version of an earlier era conflicts.

--- a/lacewingcross/core/store_position.py
+++ b/lacewingcross/core/store_position.py
@@ -11,6 +11,8 @@
 
 # Larger numbers are errors of the sender.
 MAX_NUMBER = 2**53
+# Bits of a version number that hold the revision; the bits above them hold the era.
+REVISION_BITS = 40
 
 
 class StorePosition(NamedTuple):
@@ -22,6 +24,19 @@
     era: Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
     revision: Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
 
+    @property
+    def version(self) -> int:
+        """Return one number that orders as positions do.
+
+        Operators' resources carry it as their version.
+        """
+        return self.era << REVISION_BITS | self.revision
+
+    @classmethod
+    def from_version(cls, version: int) -> "StorePosition":
+        """Return the position of a version number."""
+        return cls(version >> REVISION_BITS, version & (1 << REVISION_BITS) - 1)
+
     def __str__(self) -> str:
         return f"{self.era}.{self.revision}"
 
--- a/lacewingcross/operations.py
+++ b/lacewingcross/operations.py
@@ -15,6 +15,7 @@
 from .core.plan import bucket_of
 from .core.reports import REPORT_KIND
 from .core.slew import EffectivePlan
+from .core.store_position import MAX_NUMBER
 from .errors import PlatformError, ResourceError, UserError
 from .platform_client import PlatformClient, StoredObject
 
@@ -105,7 +106,7 @@
     reader = Reader(item, where, ResourceError)
     kind = reader.text("kind", choices=res.OPERATOR_KINDS)
     name = reader.name("name")
-    version = reader.integer("version", 0)
+    version = reader.integer("version", 0, high=MAX_NUMBER)
     spec = reader.raw("spec", None)
     reader.finish()
     res.parse(kind, name, spec, where)
--- a/lacewingcross/platform_client.py
+++ b/lacewingcross/platform_client.py
@@ -7,6 +7,7 @@
 from .core.config import CONFIG_KINDS
 from .core.membership import HostInfo
 from .core.resources import object_key, split_key
+from .core.store_position import START, StorePosition
 from .errors import PlatformError
 from .platform.object_api import ApiObject, ApiObjects, ObjectApi, encode
 
@@ -23,7 +24,10 @@
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
-    """An object as the platform stores it; `value` is None for a deleted object."""
+    """An object as the platform stores it; `value` is None for a deleted object.
+
+    `version` orders as positions in the store's history do, see `StorePosition`.
+    """
 
     key: str
     version: int
@@ -111,7 +115,11 @@
         Only kinds in `CONFIG_KINDS` can be watched; changes to objects of other kinds
         are not reported. `wait_s` is the longest wait in seconds.
         """
-        found = await self._api.watch(WATCHED_KIND, after, wait_s)
+        since = StorePosition.from_version(after)
+        found = await self._api.watch(WATCHED_KIND, since.revision, wait_s)
+        if since != START and found.as_of.era != since.era:
+            # The store was restored, and the changes do not show what it lost.
+            raise PlatformError("compacted", f"watch from {since}: store restored")
         return _listing(WATCHED_KIND, found, kinds)
 
     async def create(self, key: str, spec: object, write_id: str = "") -> StoredObject:
@@ -133,7 +141,8 @@
     async def delete(self, key: str, if_version: int) -> int:
         """Delete an object at version `if_version`; return the deletion's version."""
         kind, name = _platform_name(key)
-        return (await self._api.delete(kind, name, if_version)).revision
+        revision = self._revision_of(key, if_version)
+        return (await self._api.delete(kind, name, revision)).version
 
     async def hosts(self) -> HostListing:
         """Return the platform's list of hosts."""
@@ -189,9 +198,21 @@
         self, kind: str, name: str, value: object, if_version: int
     ) -> ApiObject:
         if if_version:
-            return await self._api.replace(kind, name, value, if_version)
+            revision = self._revision_of(f"{kind}/{name}", if_version)
+            return await self._api.replace(kind, name, value, revision)
         return await self._api.create(kind, name, value)
 
+    def _revision_of(self, key: str, version: int) -> int:
+        """Return the revision of a version.
+
+        Guards against a write that undoes another: the object was read before the store
+        was restored, and its revision was given out again to a later change.
+        """
+        position = StorePosition.from_version(version)
+        if position.era < self._api.era:
+            raise PlatformError("conflict", f"{key}: the store was restored since")
+        return position.revision
+
     async def _resolve_conflict(
         self, key: str, write_id: str, conflict: PlatformError
     ) -> StoredObject:
@@ -228,10 +249,10 @@
 
 
 def _stored(kind: str, item: ApiObject) -> StoredObject:
-    return StoredObject(_key(kind, item.name), item.position.revision, item.spec)
+    return StoredObject(_key(kind, item.name), item.position.version, item.spec)
 
 
 def _listing(kind: str, found: ApiObjects, wanted: tuple[str, ...]) -> Listing:
     objects = [_stored(kind, item) for item in found.items]
     wanted_objects = [item for item in objects if split_key(item.key)[0] in wanted]
-    return Listing(found.as_of.revision, wanted_objects)
+    return Listing(found.as_of.version, wanted_objects)
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -211,3 +211,49 @@
         assert [(item.name, item.spec) for item in changes.items] == [("a", "new")]
 
     with_api(check)
+
+
+def test_versions_rise_when_the_store_is_restored():
+    # Guards against hosts and operators that take what is written after a restore for
+    # older than what they know.
+    async def check(standin, _api, client):
+        backup = standin.backup()
+        first = await client.create("ShiftCap/a", {"fraction": 0.1})
+        second = await client.update("ShiftCap/a", {"fraction": 0.2}, first.version)
+        standin.restore(backup)
+        again = await client.create("ShiftCap/a", {"fraction": 0.3})
+        assert again.version > second.version
+        assert (await client.list("ShiftCap")).revision >= again.version
+
+    with_api(check)
+
+
+def test_a_watch_across_a_restore_fails_as_compacted():
+    # Guards against an object of the lost time that stays in force for good.
+    async def check(standin, _api, client):
+        backup = standin.backup()
+        lost = await client.create("Drain/lost", {"server": "s1"})
+        standin.restore(backup)
+        for name in ("b", "c"):
+            await client.create(f"Drain/{name}", {"server": "s2"})
+        with pytest.raises(PlatformError) as caught:
+            await client.watch(("Drain",), lost.version, 0.1)
+        assert error_code(caught) == "compacted"
+
+    with_api(check)
+
+
+def test_a_write_conditional_on_a_version_of_an_earlier_era_conflicts():
+    # Guards against an operator who undoes the change of another: the revision that was
+    # read before a restore was given out again.
+    async def check(standin, _api, client):
+        backup = standin.backup()
+        read = await client.create("ShiftCap/a", {"fraction": 0.1})
+        standin.restore(backup)
+        other = await client.create("ShiftCap/a", {"fraction": 0.2})
+        with pytest.raises(PlatformError) as caught:
+            await client.update("ShiftCap/a", {"fraction": 0.3}, read.version)
+        assert error_code(caught) == "conflict"
+        assert (await client.get("ShiftCap/a")).version == other.version
+
+    with_api(check)
