--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -5,13 +5,13 @@
 from typing import Protocol
 
 from ..errors import UserError
-from .attempts import RetryBudget
 from .backend_state import ServerEntry
 from .crashes import CrashLedger
 from .placement import Placement
 from .randomness import RandomSource
 from .replica import Document, Kind, Replica, Update
 from .restored_entries import RestoredEntries
+from .retry_budgets import RetryBudgets
 from .routes import CallerLimits, Configuration, Route, RouteTable
 from .splits import Splitter
 from .store_position import START
@@ -28,10 +28,6 @@
 # longer than any host waits before it queries the store itself
 # (`MAX_SILENCE_TIMEOUT_S`).
 OUTAGE_S = 2.3
-# Fraction of the common extra retries that the hosts use; the retries in proportion to
-# requests are used in full. The rest covers hosts that restart with all of their extra
-# retries.
-RETRY_MARGIN = 0.75
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,13 +67,14 @@
     rng : RandomSource
         Source of the split positions of requests without a key.
     retry_ratio, retry_extra : float
-        The retry allowance that all hosts share, for each service: retries as a
-        fraction of requests, and a number of extra retries.
+        The retry allowance that all hosts share, see `RetryBudgets`.
 
     Attributes
     ----------
     host_count : int
         Number of hosts that share the limits on connections to servers.
+    retry_budgets : RetryBudgets
+        This host's budgets of retries.
     rejected : list of Rejected
         Stored objects that could not be decoded.
     table : RouteTable or None
@@ -87,17 +84,13 @@
     """
 
     __slots__ = (
-        "_budgets",
         "_confirmed_at",
         "_decoder",
-        "_host_share",
         "_kept_evacuations",
         "_kept_until",
         "_least_urgent",
         "_outage_ended_at",
         "_restored_entries",
-        "_retry_extra",
-        "_retry_ratio",
         "_splitters",
         "config_spec",
         "crashes",
@@ -105,6 +98,7 @@
         "placement",
         "rejected",
         "replica",
+        "retry_budgets",
         "rng",
         "table",
     )
@@ -124,11 +118,8 @@
         self.table: RouteTable | None = None
         self.config_spec: object = None
         self.host_count = 1
-        self._host_share = 1.0
         self._decoder = decoder
-        self._retry_ratio = retry_ratio
-        self._retry_extra = retry_extra
-        self._budgets: dict[str, RetryBudget] = {}
+        self.retry_budgets = RetryBudgets(retry_ratio, retry_extra)
         self._splitters: dict[str, tuple[Route, Splitter]] = {}
         # When servers whose entries expired in a store outage are dropped, by id.
         self._kept_until: dict[str, float] = {}
@@ -375,44 +366,6 @@
         """Return the rank of the least urgent requests that may go to a service."""
         return self._least_urgent.get(service, 0)
 
-    def set_retry_allowance(self, ratio: float, extra: float) -> None:
-        """Set the retry allowance that all hosts share; a change resets the budgets.
-
-        `ratio` is retries as a fraction of requests, `extra` a number of extra retries.
-        """
-        if (ratio, extra) != (self._retry_ratio, self._retry_extra):
-            self._retry_ratio = ratio
-            self._retry_extra = extra
-            self._budgets.clear()
-
-    def set_host_share(self, share: float) -> None:
-        """Set this host's share, 0 to 1, of the extra retries of all hosts.
-
-        Guards against oversized budgets: all hosts start together, and each knows only
-        itself when its first requests come. Each would keep the extra retries of all
-        hosts. So existing budgets are resized when the share changes.
-        """
-        if share != self._host_share:
-            self._host_share = share
-            for budget in self._budgets.values():
-                budget.resize(self._reserve())
-
-    def _reserve(self) -> int:
-        """Return this host's number of extra retries, at least 1."""
-        reserve = self._retry_extra * RETRY_MARGIN * self._host_share
-        return max(1, int(reserve))
-
-    def budget(self, service: str) -> RetryBudget:
-        """Return this host's budget of retries for a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            requests_per_retry = max(1, round(1.0 / self._retry_ratio))
-            budget = RetryBudget(
-                requests_per_retry=requests_per_retry, reserve=self._reserve()
-            )
-            self._budgets[service] = budget
-        return budget
-
 
 def _least_urgent(config: Configuration) -> dict[str, int]:
     """Return the highest rank number that requests to each service may have."""
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -228,7 +228,7 @@
         servers = placement.known.servers.values()
         roster = gateway.roster
         steering.host_count = len(roster.active.keys() | {roster.own.host_id})
-        steering.set_host_share(fleet_share(roster, now))
+        steering.retry_budgets.set_host_share(fleet_share(roster, now))
         placement.eligibility.host_region_share = region_share(roster, now)
         rates = placement.gate.rates
         rates.set_hosts(serving_hosts(roster, now), now)
@@ -284,7 +284,7 @@
         steering.placement.eligibility.set_cold_bound(
             bounds.cold_over, bounds.cold_slack
         )
-        steering.set_retry_allowance(bounds.retry_ratio, bounds.retry_extra)
+        steering.retry_budgets.set_allowance(bounds.retry_ratio, bounds.retry_extra)
         self.gateway.quotas.set_bound(bounds.quota_bound, self.gateway.times())
         logs.event("settings-reloaded", host_id=cfg.host_id)
 
--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -117,7 +117,7 @@
         steering = self._gateway.steering
         self._service = steering.service_for(route, self._req.frame.key)
         self._reply.service = self._service
-        budget = steering.budget(self._service)
+        budget = steering.retry_budgets.of(self._service)
         budget.earn()
         while True:
             refused_for_s = self._repeated_request.apply_quarantine()
@@ -320,7 +320,7 @@
         ):
             return False
         steering = self._gateway.steering
-        if not steering.budget(self._service).available():
+        if not steering.retry_budgets.of(self._service).available():
             return False
         choice = steering.placement.choose(
             self._placement_request(), self._gateway.now()
@@ -334,7 +334,7 @@
         ending: Ending,
         answer: Answer | None,
     ) -> Verdict:
-        budget = self._gateway.steering.budget(self._service)
+        budget = self._gateway.steering.retry_budgets.of(self._service)
         await self._repeated_request.wait_for_crash_check()
         verdict = decide(
             attempt,
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -26,7 +26,7 @@
     placement = Placement("a", {"a1": "a"}, rng, 1.5, 5.0)
     state = Steering(placement, ObjectDecoder(), rng, 0.2, 64.0)
     state.host_count = hosts
-    state.set_host_share(1.0 / hosts)
+    state.retry_budgets.set_host_share(1.0 / hosts)
     return state
 
 
@@ -97,8 +97,8 @@
     # All hosts start together, and the first requests come before they know each other.
     # Twelve whole reserves would be twelve times what the users allow.
     state = make_steering(1)
-    budget = state.budget("calendar")
-    state.set_host_share(1.0 / 12)
+    budget = state.retry_budgets.of("calendar")
+    state.retry_budgets.set_host_share(1.0 / 12)
     spent = 0
     while budget.available():
         budget.spend()
@@ -115,7 +115,7 @@
     requests = retries = 0
     for host in fleet:
         for _ in range(3000 // hosts):
-            budget = host.budget("calendar")
+            budget = host.retry_budgets.of("calendar")
             budget.earn()
             requests += 1
             if budget.available():
