--- a/lacewingcross/core/restored_entries.py
+++ b/lacewingcross/core/restored_entries.py
@@ -28,6 +28,9 @@
         # Each entry, and the time at which it is to be used, by id of the server.
         self._withheld: dict[str, tuple[Document, float]] = {}
 
+    def __len__(self) -> int:
+        return len(self._withheld)
+
     def withhold(self, doc: Document, now: float) -> None:
         """Withhold an entry; a later one of the same server replaces it."""
         self._withheld[doc.name] = (doc, now + PROVEN_ALIVE_S)
--- a/lacewingcross/core/retry_budgets.py
+++ b/lacewingcross/core/retry_budgets.py
@@ -1,4 +1,4 @@
-"""This host's budgets of retries, one for each service."""
+"""Budgets of retries of one host, one for each service."""
 
 from .attempts import RetryBudget
 
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -73,6 +73,8 @@
     ----------
     host_count : int
         Number of hosts that share the limits on connections to servers.
+    restored_entries : RestoredEntries
+        Server entries of a restored store that are not used yet.
     retry_budgets : RetryBudgets
         This host's budgets of retries.
     rejected : list of Rejected
@@ -90,7 +92,6 @@
         "_kept_until",
         "_least_urgent",
         "_outage_ended_at",
-        "_restored_entries",
         "_splitters",
         "config_spec",
         "crashes",
@@ -98,6 +99,7 @@
         "placement",
         "rejected",
         "replica",
+        "restored_entries",
         "retry_budgets",
         "rng",
         "table",
@@ -130,7 +132,7 @@
         # When the store last confirmed the copy of a kind of objects.
         self._confirmed_at: dict[Kind, float] = {}
         self._outage_ended_at = float("-inf")
-        self._restored_entries = RestoredEntries()
+        self.restored_entries = RestoredEntries()
         self.rejected: list[Rejected] = []
 
     def take(self, update: Update, now: float, *, fresh: bool = True) -> list[Document]:
@@ -197,7 +199,7 @@
         self._outage_ended_at = now
         for name in self._kept_until:
             self._kept_until[name] = now + LAPSE_GRACE_S
-        self._restored_entries.restart(now)
+        self.restored_entries.restart(now)
 
     def _without_gone(
         self, changed: list[Document], before: dict[str, Document], now: float
@@ -214,7 +216,7 @@
                 self.placement.gate.departures.observe(server.entry.incarnation)
             was_gone = doc.name in before and before[doc.name].spec is None
             if doc.spec is not None and was_gone and server is None:
-                self._restored_entries.withhold(doc, now)
+                self.restored_entries.withhold(doc, now)
             else:
                 yield doc
 
@@ -300,7 +302,7 @@
         return True
 
     def _take_server(self, doc: Document, now: float) -> None:
-        self._restored_entries.discard(doc.name)
+        self.restored_entries.discard(doc.name)
         if doc.spec is not None:
             self._kept_until.pop(doc.name, None)
             self.placement.known.put(self._decoder.server(doc.name, doc.spec), now)
@@ -326,7 +328,7 @@
             del self._kept_evacuations[name]
         if ended:
             self._set_evacuated(now)
-        self._apply(list(self._restored_entries.take_proven(now)), now)
+        self._apply(list(self.restored_entries.take_proven(now)), now)
         expired = [name for name, until in self._kept_until.items() if now >= until]
         for name in expired:
             del self._kept_until[name]
--- a/lacewingcross/gateway/context.py
+++ b/lacewingcross/gateway/context.py
@@ -5,6 +5,7 @@
 import itertools
 
 from .. import headers as hd
+from .. import logs
 from ..clock import Clock
 from ..core.fleet_shares import rank
 from ..core.quotas import ClockReading, Quotas
@@ -110,8 +111,24 @@
         `fresh` says whether the update has just been read from the store, by this host
         or by the host that sent it. Another host's copy of the store may be old.
         """
+        replica = self.steering.replica
+        known_as_of = replica.as_of(update.kind)
+        restored = replica.restored_by(update)
+        age_s = self.steering.store_age(self.now())
         changed = self.steering.take(update, self.now(), fresh=fresh)
         self._configure_quotas()
+        if restored:
+            self.metrics.count("store.restores-seen")
+            logs.event(
+                "store-restored",
+                "WARNING",
+                kind=update.kind.name,
+                era=update.as_of.era,
+                as_of=update.as_of,
+                known_as_of=known_as_of,
+                age_s=age_s,
+                changed=len(changed),
+            )
         return changed
 
     def take_configuration(self, spec: object) -> bool:
--- a/lacewingcross/gateway/gauges.py
+++ b/lacewingcross/gateway/gauges.py
@@ -10,7 +10,8 @@
     ``hosts.known`` and ``hosts.live`` include the host itself. ``store.age_s`` is the
     age of this host's copy of the store, in seconds. ``store.as_of_era.`` and
     ``store.as_of.`` are the era and the revision up to which the copy of a kind of
-    objects is complete.
+    objects is complete. ``servers.withheld`` is the number of servers that had left
+    before the store was restored, and that its copy shows as ready.
     """
     placement = gateway.steering.placement
     metrics = gateway.metrics
@@ -22,6 +23,7 @@
     metrics.set_gauge("requests.quarantined", len(quarantine))
     gateway.quota_admission.measure()
     metrics.set_gauge("store.age_s", gateway.steering.store_age(now))
+    metrics.set_gauge("servers.withheld", len(gateway.steering.restored_entries))
     for kind in Kind:
         as_of = gateway.steering.replica.as_of(kind)
         metrics.set_gauge(f"store.as_of.{kind.name.lower()}", as_of.revision)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -508,9 +508,8 @@
         app.reload()
         expected = Bounds(cold_over=3.0, retry_ratio=0.1)
         await until(lambda: app.gateway.cfg.bounds == expected)
-        assert (
-            app.gateway.steering.retry_budgets.of("calendar").requests_per_retry == 10
-        )
+        budgets = app.gateway.steering.retry_budgets
+        assert budgets.of("calendar").requests_per_retry == 10
         path.write_text("{")
         app.reload()
         await asyncio.sleep(0.1)
