--- a/lacewingcross/gateway/gossip_receiver.py
+++ b/lacewingcross/gateway/gossip_receiver.py
@@ -172,10 +172,11 @@
         """
         steering = self._gateway.steering
         own_version = steering.config_version
-        own = steering.replica.as_of(Kind.CONFIG)
+        if not 0 < own_version < message.config_version:
+            return
         positions = dict(zip(Kind, message.positions, strict=False))
-        behind = own < positions.get(Kind.CONFIG, START)
-        if behind or not 0 < own_version < message.config_version:
+        own = steering.replica.as_of(Kind.CONFIG)
+        if own < positions.get(Kind.CONFIG, START):
             return
         if self._version_catch_up.may_ask(Kind.CONFIG, now):
             self._send_to(info, msg.VersionPull(own_version))
