Write claims of idempotency keys again that a restored store has lost

What callers would see: a booking that is sent again after a restore runs twice. Cause: the owner's next write conflicts, it reads the shard again, and the claims of the lost time are gone from its memory as well. Change: a head of another era than the one known shows a restore; claims that this host knew and the copy lacks stay, and the next batch writes them again.

Evidence: test_a_claim_that_the_store_lost_still_holds_and_is_written_again failed on the code before (the second request got the key) and passes.

--- a/lacewingcross/core/claims.py
+++ b/lacewingcross/core/claims.py
@@ -20,6 +20,7 @@
 )
 from .events import ObjectsLoaded, StoredSpec, WriteEnded
 from .rendezvous import hash64
+from .store_position import StorePosition
 from .view import View
 
 # Number of shards of each service.
@@ -111,6 +112,9 @@
         Claims for the next batch.
     freeing : dict of str to str
         Claims that the next batch frees, by the hash of the key.
+    lost : dict of str to str
+        Claims in the head that the store has lost and the next batch writes again, by
+        the hash of the key.
     batch : Batch or None
         The batch being written.
     call_id : int
@@ -131,6 +135,7 @@
     first_seen_at: dict[str, float] = field(default_factory=dict)
     waiting: list[PendingClaim] = field(default_factory=list)
     freeing: dict[str, str] = field(default_factory=dict)
+    lost: dict[str, str] = field(default_factory=dict)
     batch: "Batch | None" = None
     call_id: int = 0
     written_at: float = float("-inf")
@@ -152,6 +157,34 @@
             claim = claim or segment.get(key_hash, "")
         return "" if self.freed.get(key_hash) == claim else claim
 
+    def held(self) -> dict[str, str]:
+        """Return the claims that hold a key, by the hash of the key."""
+        keys = {*self.head, *(key for seg in self.segments.values() for key in seg)}
+        return {key: claim for key in keys if (claim := self.holder(key))}
+
+    def has_writes(self) -> bool:
+        """Return whether there is something for the next batch to write."""
+        return bool(self.waiting or self.freeing or self.lost)
+
+    def keep_lost(self, known: dict[str, str], known_version: int) -> None:
+        """Keep the claims that the store has lost since they were written.
+
+        Guards against a booking that runs twice: the store was restored from a copy
+        that lacks the claim of its key, and the caller sends it again.
+
+        Parameters
+        ----------
+        known : dict of str to str
+            The claims that this host knew before it read the shard again.
+        known_version : int
+            Version of the head that they are from; 0 if there was none.
+        """
+        era = StorePosition.from_version(self.head_version).era
+        if era != StorePosition.from_version(known_version).era and known_version:
+            self.lost.update(known)
+        self.lost = {k: claim for k, claim in self.lost.items() if not self.holder(k)}
+        self.head.update(self.lost)
+
     def unload(self) -> None:
         """Mark the shard to be read again before its next use.
 
@@ -204,11 +237,11 @@
         return self._view.owner_among_live(f"claims/{service}/{shard_index}", now)
 
     def busy(self) -> bool:
-        """Return whether a claim or a freed key waits for the next batch.
+        """Return whether a claim, a freed key or a lost claim waits for the next batch.
 
         The batch being written does not count, since the end of its write is an event.
         """
-        return any(shard.waiting or shard.freeing for shard in self.shards.values())
+        return any(shard.has_writes() for shard in self.shards.values())
 
     def on_claim(self, host_id: str, claim: msg.Claim, now: float) -> Iterator[Action]:
         """Queue a claim, or answer it immediately if its key is known to be claimed.
@@ -266,10 +299,10 @@
     def _advance(self, shard: Shard, now: float) -> Iterator[Action]:
         """Read the shard if it is not loaded, else write the next batch.
 
-        Nothing happens while a call of the shard is under way, without a claim or a
-        freed key to write, or before the minimum interval has passed.
+        Nothing happens while a call of the shard is under way, without anything to
+        write, or before the minimum interval has passed.
         """
-        if shard.call_id or not (shard.waiting or shard.freeing):
+        if shard.call_id or not shard.has_writes():
             return
         if not shard.loaded:
             if now - shard.loading_since >= LOAD_RETRY_INTERVAL_S:
@@ -288,7 +321,7 @@
             [], dict(shard.head), dict(shard.freed), dict(shard.segments), shard.freeing
         )
         shard.freeing = {}
-        changed = self._apply_freed(shard, batch)
+        changed = self._apply_freed(shard, batch) or bool(shard.lost)
         for item in shard.waiting:
             holder = batch.head.get(item.key_hash) or shard.holder(item.key_hash)
             if holder and holder != item.claim:
@@ -385,6 +418,7 @@
         self, shard: Shard, batch: Batch, version: int, now: float
     ) -> Iterator[Action]:
         shard.batch = None
+        shard.lost = {}
         shard.head_version = version
         shard.head = batch.head
         shard.freed = batch.freed
@@ -404,13 +438,20 @@
         If the shard could not be read whole, all claims that wait are refused.
         """
         shard = self._end_call(event.call_id)
+        known, known_version = shard.held(), shard.head_version
         if event.objects is None or not _read_objects(shard, event.objects, now):
             yield Count("claims.load-failed")
             yield from self._refuse_waiting(shard, shard.waiting)
             return
+        shard.keep_lost(known, known_version)
         yield Log(
             "claims-loaded",
-            {"service": shard.service, "shard": shard.index, "keys": len(shard.head)},
+            {
+                "service": shard.service,
+                "shard": shard.index,
+                "keys": len(shard.head),
+                "lost": len(shard.lost),
+            },
         )
         held = [item for item in shard.waiting if shard.holder(item.key_hash)]
         for item in held:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,6 +15,7 @@
 from lacewingcross.core import messages as msg
 from lacewingcross.core.events import ObjectsLoaded, StoredSpec, WriteEnded
 from lacewingcross.core.membership import HostInfo, Membership
+from lacewingcross.core.store_position import StorePosition
 from lacewingcross.core.view import View
 
 OWN = HostInfo("own", "r", "d", "127.0.0.1:1", "127.0.0.1:2")
@@ -238,3 +239,27 @@
     platform.free(key, "first")
     platform.tick()
     assert claim(key, "third") == [cl.TAKEN]
+
+
+def test_a_claim_that_the_store_lost_still_holds_and_is_written_again():
+    # Guards against a booking that runs twice: the store was restored from a copy from
+    # before the claim of its key.
+    model = Owners()
+    model.claim_and_settle("a", KEYS[0])
+    backup = dict(model.store)
+    model.claim_and_settle("a", KEYS[1])
+    model.version = StorePosition(1, model.version).version
+    model.store = {
+        key: (StorePosition(1, version).version, spec)
+        for key, (version, spec) in backup.items()
+    }
+    model.claim_and_settle("a", KEYS[2])
+    model.claim_and_settle("a", KEYS[1])
+    assert [model.outcomes[f"c{num}"] for num in (1, 2, 3, 4)] == [
+        [cl.CLAIMED],
+        [cl.CLAIMED],
+        [cl.CLAIMED],
+        [cl.TAKEN],
+    ]
+    model.claim_and_settle("b", KEYS[1])
+    assert model.outcomes["c5"] == [cl.TAKEN]
