Let one host list the store again after a restore

After an outage of more than two seconds every active host watches the store, and each that finds it restored read all objects and sent them to all others: listings grow with the square of the hosts. Seen by reading; four hosts in one process do not show it, as their back-off spreads them. Change: a host of rank n waits n times 0.1 s (0.5 s at most) for the listing of another one before its own.

Evidence: test_a_host_of_a_higher_rank_lists_only_if_no_other_host_does failed on the code before (one listing although a peer had sent one) and passes.

--- a/lacewingcross/gateway/store_follower.py
+++ b/lacewingcross/gateway/store_follower.py
@@ -22,6 +22,12 @@
 # The same interval while the host has no objects of that kind yet and cannot serve, in
 # seconds.
 EMPTY_REVIEW_INTERVAL_S = 0.02
+# A host of rank n that has objects already waits n times this long, in seconds, before
+# it reads all of them again: the listing of a host of lower rank arrives within the
+# delay between regions (35 ms).
+LIST_DELAY_STEP_S = 0.1
+# Longest such wait, in seconds. A change must be in force within 2.5 s.
+MAX_LIST_DELAY_S = 0.5
 
 Publish = Callable[[Update], None]
 
@@ -69,19 +75,30 @@
 
     def has_data(self, kind: Kind) -> bool:
         """Return whether this host has a copy of a kind."""
-        return self._as_of(kind) > START
+        return self.as_of(kind) > START
 
     def was_restored(self, kind: Kind) -> bool:
         """Return whether the store was restored after this host's copy of a kind."""
-        return self._store.era > self._as_of(kind).era
+        return self._store.era > self.as_of(kind).era
 
-    def _as_of(self, kind: Kind) -> StorePosition:
+    def as_of(self, kind: Kind) -> StorePosition:
+        """Return the position up to which this host's copy of a kind is complete."""
         return self._gateway.steering.replica.as_of(kind)
 
     def backoff(self) -> Backoff:
         """Return a new back-off between calls."""
         return Backoff(self._gateway.steering.rng)
 
+    def list_delay_s(self, kind: Kind) -> float:
+        """Return how long to wait for the listing of another host, in seconds.
+
+        0 for the host of rank 0, and for a host that has no objects of the kind yet.
+        """
+        if not self.has_data(kind):
+            return 0.0
+        rank = self._gateway.rank or 0
+        return min(MAX_LIST_DELAY_S, rank * LIST_DELAY_STEP_S)
+
     async def list(self, kind: Kind) -> None:
         """Read all objects of a kind, and apply and publish them."""
         self._apply(await self._store.read_all(kind), "listing")
@@ -96,12 +113,12 @@
             then has to wait.
         """
         began_at = self._gateway.now()
-        since = self._as_of(kind)
+        since = self.as_of(kind)
         update = await self._store.watch(kind, since, wait_s)
         if update.as_of.era == since.era:
             self._apply(update, "watch")
         waited = self._gateway.now() - began_at > wait_s / 2
-        return not self.was_restored(kind) and (waited or self._as_of(kind) > since)
+        return not self.was_restored(kind) and (waited or self.as_of(kind) > since)
 
     def _apply(self, update: Update, source: str) -> None:
         """Apply an update of the store and send all of it to the other hosts.
@@ -221,10 +238,28 @@
     async def _list(self) -> None:
         if self._listed:
             await self._backoff.wait()
+        if await self._peer_listed():
+            return
         self._listed = True
         await self._follower.list(self._kind)
         self._compacted = False
 
+    async def _peer_listed(self) -> bool:
+        """Wait for the listing of a host of lower rank; return whether it came.
+
+        Guards against a listing by every host, sent to every other one: after a long
+        outage all hosts watch, and all of them find that the store was restored.
+        """
+        wait_s = self._follower.list_delay_s(self._kind)
+        if not wait_s:
+            return False
+        since = self._follower.as_of(self._kind)
+        await asyncio.sleep(wait_s)
+        if self._follower.as_of(self._kind) == since:
+            return False
+        self._compacted = False
+        return True
+
     async def _watch(self) -> None:
         progress = await self._follower.watch(self._kind, self._wait_s)
         self._wait_s = watch_wait_s(self._kind)
--- a/lacewingcross/standins/object_store.py
+++ b/lacewingcross/standins/object_store.py
@@ -115,6 +115,8 @@
         Number of API calls so far.
     creations : Counter of str
         Number of calls that create an object, by kind, refused ones included.
+    listings : Counter of str
+        Number of pages of listings that were read, by kind.
     """
 
     now: Callable[[], float]
@@ -124,6 +126,7 @@
     faults: Faults = field(default_factory=Faults)
     calls: int = 0
     creations: Counter[str] = field(default_factory=Counter)
+    listings: Counter[str] = field(default_factory=Counter)
     _objects: dict[str, dict[str, StoredObject]] = field(default_factory=dict)
     _compacted: int = 0
     _deleted: int = 0
@@ -270,6 +273,7 @@
         return bool(down)
 
     async def _list(self, exchange: Exchange, kind: str, fields: dict) -> None:
+        self.listings[kind] += 1
         after = fields.get("after", "")
         names = self._names_seen(kind, stale="allow_stale" in fields)
         listed = [name for name in names if name > after]
--- a/tests/test_restored_store_gateway.py
+++ b/tests/test_restored_store_gateway.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from lacewingcross.core.replica import Kind
+from lacewingcross.core.watch_election import MAX_SILENCE_TIMEOUT_S
+from lacewingcross.platform.objects import KIND_PATHS
 
 from .gateway_parts import answers_at_once, fleet, until
 from .test_gateway import in_loop
@@ -50,11 +52,11 @@
     return backup
 
 
-async def restore(made, backup):
+async def restore(made, backup, away_s=AWAY_S):
     """Take the store away for a moment, and bring it back from a copy."""
     made.store.faults.down = "reset"
     made.store.wake_watches()
-    await asyncio.sleep(AWAY_S)
+    await asyncio.sleep(away_s)
     made.store.restore(backup)
     made.store.faults.down = ""
 
@@ -92,3 +94,23 @@
         made.configure(version=9)
         for app in [*apps, late]:
             await until(lambda app=app: version(app) == 9, BOUND_S)
+
+
+@in_loop
+async def test_a_restore_is_read_by_one_host_although_all_have_begun_to_watch():
+    # Guards against a burst of listings from every host to every other one.
+    async with fleet() as made:
+        apps = await started(made)
+        backup = await backup_then_changes(made, apps)
+        made.store.listings.clear()
+        await restore(made, backup, away_s=MAX_SILENCE_TIMEOUT_S + 1.0)
+        for app in apps:
+            replica = app.gateway.steering.replica
+            await until(
+                lambda replica=replica: (
+                    {replica.as_of(kind).era for kind in Kind} == {2}
+                )
+            )
+        await asyncio.sleep(1.0)
+        listings = {kind: made.store.listings[KIND_PATHS[kind]] for kind in Kind}
+        assert max(listings.values()) <= 2, listings
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -73,11 +73,10 @@
     return Update(kind, since, StorePosition(store.era, since.revision), [])
 
 
-def calls_per_s(store):
-    replica = Replica()
-    gateway = SimpleNamespace(
+def gateway_with(replica, rank=0):
+    return SimpleNamespace(
         now=time.monotonic,
-        rank=0,
+        rank=rank,
         roster=SimpleNamespace(is_active=True),
         watch_election=WatchElection(),
         metrics=SimpleNamespace(count=lambda name: None),
@@ -90,6 +89,10 @@
         ),
         take=lambda update: replica.apply(update),
     )
+
+
+def calls_per_s(store):
+    gateway = gateway_with(Replica())
     follower = StoreFollower(gateway, store, lambda update: None)
 
     async def run():
@@ -126,3 +129,33 @@
 )
 def test_calls_are_paced_whatever_the_store_answers(listing, watch):
     assert calls_per_s(ScriptedStore(listing, watch)) <= MAX_CALLS_PER_S
+
+
+@pytest.mark.parametrize(("peer_lists", "listings"), [(True, 0), (False, 1)])
+def test_a_host_of_a_higher_rank_lists_only_if_no_other_host_does(peer_lists, listings):
+    # Guards against a listing by every host after an outage in which all of them watch.
+    replica = Replica()
+    store = ScriptedStore(list_at(3), watch_waits)
+    replica.apply(list_at(9)(store, Kind.SERVER))
+    store.era = 2
+    listed = []
+    read_all = store.read_all
+
+    async def count_listing(kind):
+        listed.append(kind)
+        return await read_all(kind)
+
+    store.read_all = count_listing
+    follower = StoreFollower(gateway_with(replica, rank=4), store, lambda update: None)
+
+    async def run():
+        watching = asyncio.ensure_future(follower.watch_loop(Kind.SERVER)())
+        await asyncio.sleep(0.05)
+        if peer_lists:
+            replica.apply(list_at(3)(store, Kind.SERVER))
+        await asyncio.sleep(1.0)
+        watching.cancel()
+
+    asyncio.run(run())
+    assert len(listed) == listings
+    assert replica.as_of(Kind.SERVER) == StorePosition(2, 3)
