--- a/lacewingcross/core/store_position.py
+++ b/lacewingcross/core/store_position.py
@@ -11,8 +11,8 @@
 
 # Larger numbers are errors of the sender.
 MAX_NUMBER = 2**53
-# Bits of a version number that hold the revision; the bits above them hold the era.
-REVISION_BITS = 40
+# Version numbers in one era; a power of ten, so that people can read era and revision.
+VERSIONS_PER_ERA = 10**12
 
 
 class StorePosition(NamedTuple):
@@ -30,12 +30,12 @@
 
         Operators' resources carry it as their version.
         """
-        return self.era << REVISION_BITS | self.revision
+        return self.era * VERSIONS_PER_ERA + self.revision
 
     @classmethod
     def from_version(cls, version: int) -> "StorePosition":
         """Return the position of a version number."""
-        return cls(version >> REVISION_BITS, version & (1 << REVISION_BITS) - 1)
+        return cls(*divmod(version, VERSIONS_PER_ERA))
 
     def __str__(self) -> str:
         return f"{self.era}.{self.revision}"
