Longer waits for what a restored store lacks or shows older

An entry of a server that was gone is withheld for 7 s in place of 5 s: the store drops it 4.6 s after its return, and hosts may learn of that 2.1 s later if the watching host fails just then.

--- a/lacewingcross/core/restored_entries.py
+++ b/lacewingcross/core/restored_entries.py
@@ -8,9 +8,10 @@
 
 from .replica import Document
 
-# The store drops the entry of a server that has been silent for about 4.5 s. An entry
-# that it still has after this time, in seconds, belongs to a server that is alive.
-PROVEN_ALIVE_S = 5.0
+# An entry that the store still has after this time, in seconds, belongs to a server
+# that is alive: the store drops that of a server which has been silent for 4.6 s, and
+# hosts learn of it within 2.1 s also if the watching host fails.
+PROVEN_ALIVE_S = 7.0
 
 
 class RestoredEntries:
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -23,6 +23,9 @@
 # After a store outage, servers whose entries expired register again within two seconds.
 # The rest of this time, in seconds, covers the delay of the update.
 LAPSE_GRACE_S = 2.2
+# How long an evacuation that a restored store lacks stays in force, in seconds, while
+# the operator has not written it again.
+EVACUATION_GRACE_S = 5.0
 # Silence of the store, in seconds, that counts as an outage in which server entries may
 # have expired. It is half of the time after which the store drops a silent server, and
 # longer than any host waits before it queries the store itself
@@ -190,7 +193,7 @@
         """
         for doc in changed:
             if restored and doc.spec is None:
-                self._kept_evacuations[doc.name] = now + LAPSE_GRACE_S
+                self._kept_evacuations[doc.name] = now + EVACUATION_GRACE_S
             else:
                 self._kept_evacuations.pop(doc.name, None)
 
