--- a/tests/test_restored_quarantines.py
+++ b/tests/test_restored_quarantines.py
@@ -24,6 +24,12 @@
         ledger.quarantine.add(request, ("i-1",), now, own=True)
 
 
+async def known_everywhere(apps):
+    for app in apps:
+        replica = app.gateway.steering.replica
+        await until(lambda replica=replica: replica.known(Kind.QUARANTINE))
+
+
 @in_loop
 async def test_a_quarantine_that_the_store_lost_stays_and_is_stored_again_once():
     # Guards against a request that crashes three servers again after a restore, and
@@ -32,9 +38,7 @@
         apps = await started(made)
         backup = made.store.backup()
         quarantine_everywhere(apps, "bad")
-        for app in apps:
-            replica = app.gateway.steering.replica
-            await until(lambda replica=replica: replica.known(Kind.QUARANTINE))
+        await known_everywhere(apps)
         made.store.creations.clear()
         await restore(made, backup)
         await until(lambda: made.store.names(KIND) == ["bad"])
@@ -51,6 +55,7 @@
         apps = await started(made)
         quarantine_everywhere(apps, "cleared")
         await until(lambda: made.store.names(KIND) == ["cleared"])
+        await known_everywhere(apps)
         backup = made.store.backup()
         for ledger in ledgers(apps):
             ledger.release("cleared")
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -303,3 +303,14 @@
     apply_document(state, 6, None, 0.5, name="a1", kind=Kind.EVACUATION)
     restore(state, 1.0, ("a1", {}), kind=Kind.EVACUATION)
     assert evacuated(state) == {"a1"}
+
+
+def test_a_request_that_is_cleared_while_its_quarantine_is_stored_stays_cleared():
+    # Guards against callers that are refused although a server has answered them.
+    state = make_steering()
+    state.crashes.quarantine.add("r1", ("i-1",), 0.0, own=True)
+    state.crashes.answered("r1")
+    apply_document(
+        state, 5, {"servers": ["i-1"]}, 0.01, name="r1", kind=Kind.QUARANTINE
+    )
+    assert "r1" not in state.crashes.quarantine
