--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -156,16 +156,30 @@
         changed = self.replica.apply(update)
         if fresh and self.replica.covers(update):
             self._confirm(update.kind, now)
-        if restored and update.kind is Kind.SERVER:
-            self._restart_waits(now)
-            self._apply(list(self._without_gone(changed, before, now)), now)
-            return changed
-        if restored and update.kind is Kind.QUARANTINE:
-            self._apply(list(self._without_released(changed, before, now)), now)
-            return changed
         if update.kind is Kind.EVACUATION:
             self._review_kept_evacuations(changed, now, restored=restored)
-        self._apply(changed, now)
+        used = changed
+        if restored:
+            used = self._used_after_restore(update.kind, changed, before, now)
+        self._apply(used, now)
+        return changed
+
+    def _used_after_restore(
+        self,
+        kind: Kind,
+        changed: list[Document],
+        before: dict[str, Document],
+        now: float,
+    ) -> list[Document]:
+        """Return the changes of a restore that this host follows.
+
+        `before` are the documents of the kind that it knew until then, by name.
+        """
+        if kind is Kind.SERVER:
+            self._restart_waits(now)
+            return list(self._without_gone(changed, before, now))
+        if kind is Kind.QUARANTINE:
+            return list(self._without_released(changed, before, now))
         return changed
 
     def _without_released(
@@ -326,15 +340,11 @@
         Entries of a restored store that have proven to be of live servers are used, and
         evacuations that it lacks and that were not written again end.
         """
-        ended = [name for name, until in self._kept_evacuations.items() if now >= until]
-        for name in ended:
-            del self._kept_evacuations[name]
-        if ended:
+        if _remove_ended(self._kept_evacuations, now):
             self._set_evacuated(now)
         self._apply(list(self.restored_entries.take_proven(now)), now)
-        expired = [name for name, until in self._kept_until.items() if now >= until]
+        expired = _remove_ended(self._kept_until, now)
         for name in expired:
-            del self._kept_until[name]
             self.placement.known.drop(name)
         return expired
 
@@ -372,6 +382,14 @@
         return self._least_urgent.get(service, 0)
 
 
+def _remove_ended(ends_at: dict[str, float], now: float) -> list[str]:
+    """Remove the names whose time has come; return them."""
+    ended = [name for name, until in ends_at.items() if now >= until]
+    for name in ended:
+        del ends_at[name]
+    return ended
+
+
 def _least_urgent(config: Configuration) -> dict[str, int]:
     """Return the highest rank number that requests to each service may have."""
     ranks: dict[str, int] = {}
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -212,7 +212,7 @@
         if gateway.roster.starting and gateway.steering.ready():
             gateway.roster.starting = False
             self._peers.announce()
-            logs.event("host-serving", config=gateway.steering.table.config.version)
+            logs.event("host-serving", config=gateway.steering.config_version)
 
     def _review_shares(self, now: float) -> None:
         """Update this host's shares of limits, and the cores that are needed.
--- a/lacewingcross/gateway/attempt_log.py
+++ b/lacewingcross/gateway/attempt_log.py
@@ -51,7 +51,7 @@
             id=self._frame.request_id,
             route=choice.placement_request.kind,
             service=choice.placement_request.service,
-            config=self._gateway.steering.table.config.version,
+            config=self._gateway.steering.config_version,
             key=self._frame.key,
             account=self._terms.account_name,
             rank=self._terms.rank,
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -109,7 +109,7 @@
             "quota-refused",
             id=self._reply.request_id,
             account=terms.account_name,
-            config=gateway.steering.table.config.version,
+            config=gateway.steering.config_version,
             keeper=decision.keeper,
             debt=decision.debt,
             debt_most=decision.max_debt,
--- a/lacewingcross/gateway/store_follower.py
+++ b/lacewingcross/gateway/store_follower.py
@@ -300,7 +300,6 @@
             revision=rejected.document.position,
             why=rejected.why,
         )
-    table = steering.table
     for doc in changed:
         logs.event(
             "store-change",
@@ -310,5 +309,5 @@
             deleted=doc.spec is None,
             as_of=update.as_of,
             source=source,
-            config=table.config.version if table else 0,
+            config=steering.config_version,
         )
--- a/lacewingcross/platform/object_api.py
+++ b/lacewingcross/platform/object_api.py
@@ -249,9 +249,8 @@
         PlatformError
             With a code of `_ERROR_CODES`, or ``unknown-outcome`` for a write whose
             response was lost, or is of an era before the latest one known. The code is
-            ``unavailable`` for any other failure: no
-            connection, a lost response to a read, an unlisted status, or a response
-            that is not JSON.
+            ``unavailable`` for any other failure: no connection, a lost response to a
+            read, an unlisted status, or a response that is not JSON.
         """
         self.calls += 1
         data = b"" if body is None else encode(body)
