Clear requests of single crashes, so that late writes bring no quarantine back

What callers saw: three servers crash while they run copies of one request, a fourth server answers another copy in the moment in which the quarantine is being stored, and from then on all hosts refuse the request, often a popular one, until its next trial, up to ten minutes later. The window is as long as the slowest of write, watch and gossip.

Cause: an answer ended the quarantine at each host and left nothing behind that the stored quarantine could be compared with. The echo of the own write, arriving after the answer, looked like a new quarantine. Hosts that start read the store and heard of no answer of the past. Class: the echo of an own write undoes a decision made since.

Fix: what is cleared is a set of crashes, by request. So order, delay, repetition and loss of answer, crash, stored object and its deletion do not matter, and crashes after the answer count in full. A stored quarantine that is cleared is not taken, and deleted by the host of rank 0; it is replaced if the request has crashed three more servers. Both happen only at the revision that the host knows. A new stream tells of answers that have cleared three crashes or more. The deletion of an object ends a quarantine only if its crashes were not cleared before.

A remembered "was cleared" with a lifetime was ruled out: it refuses too little in its time and too much after it.

--- a/lacewingcross/core/crash_gossip.py
+++ b/lacewingcross/core/crash_gossip.py
@@ -3,7 +3,7 @@
 Each report has a sequence number. A stream to another host keeps the number up to which
 all reports were sent on it. A new stream starts from the beginning, so a host that was
 partitioned, has just started or lost messages receives all crashes that still count
-against a request.
+against a request, and the answers that have ended a quarantine.
 """
 
 from collections import deque
@@ -12,7 +12,7 @@
 from itertools import islice
 
 from .backend_state import Incarnation
-from .crashes import MAX_CRASHES_KEPT, CrashLedger
+from .crashes import MAX_CRASHES_KEPT, QUARANTINE_CRASHES, CrashLedger
 
 # Maximum number of reports that are kept; the oldest are dropped first. Each crash is
 # reported once by each host that had requests at the server that crashed, usually one
@@ -69,12 +69,12 @@
         """Return the reports after a sequence number, the oldest first.
 
         Reports of crashes that the ledger has forgotten are left out. None stands for a
-        new stream; for it the result is only the crashes that count against a request.
-        Other crashes only made hosts skip a server for some seconds, and the ledger has
-        already cleared the requests that were answered.
+        new stream; for it the result is only the crashes that count against a request,
+        and the requests that are cleared of enough crashes for a quarantine: the store
+        may still hold it. Other crashes only made hosts skip a server for some seconds.
         """
         if sequence is None:
-            return (item for item in self._items if self._counts_against_request(item))
+            return self._for_new_stream()
         # Sequence numbers have no gaps, so the newer reports are the last ones.
         newest_first = islice(reversed(self._items), self.newest - sequence)
         newer = reversed(list(newest_first))
@@ -84,6 +84,19 @@
             if item.answered or self._ledger.has_crashed(item.crashed)
         )
 
+    def _for_new_stream(self) -> Iterator[GossipItem]:
+        answered: set[str] = set()
+        for item in self._items:
+            if self._counts_against_request(item):
+                yield item
+            elif item.answered not in answered and self._may_be_stored(item.answered):
+                answered.add(item.answered)
+                yield item
+
+    def _may_be_stored(self, request: str) -> bool:
+        clearance = self._ledger.cleared.get(request)
+        return clearance is not None and len(clearance.crashes) >= QUARANTINE_CRASHES
+
     def _counts_against_request(self, item: GossipItem) -> bool:
         return item.crashed is not None and bool(
             self._ledger.crash_requests(item.crashed)
--- a/lacewingcross/core/crashes.py
+++ b/lacewingcross/core/crashes.py
@@ -11,9 +11,11 @@
 request of all crashes before it.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from .backend_state import Incarnation
+from .cleared_crashes import UNKNOWN_BORN_MS, ClearedCrashes
 from .quarantine import QuarantineList
 
 # Number of crashes at which a request is quarantined. A harmless request can meet
@@ -53,19 +55,33 @@
     first_report_at: float
     own: bool = False
     requests: set[str] = field(default_factory=set)
-    # Requests that were answered or released since; late reports that they were running
-    # are ignored.
-    cleared: set[str] = field(default_factory=set)
 
 
 class CrashLedger:
-    """Crashes of servers, the requests that they count against, and quarantines."""
+    """Crashes of servers, the requests that they count against, and quarantines.
+
+    Attributes
+    ----------
+    quarantine : QuarantineList
+        The requests that are refused.
+    cleared : ClearedCrashes
+        The crashes that no longer count against a request.
+    """
 
-    __slots__ = ("_crashes", "_crashes_by_request", "quarantine")
+    __slots__ = (
+        "_crashes",
+        "_crashes_by_request",
+        "_stored_servers",
+        "cleared",
+        "quarantine",
+    )
 
     def __init__(self) -> None:
         self._crashes: dict[Incarnation, _CrashRecord] = {}
         self._crashes_by_request: dict[str, set[Incarnation]] = {}
+        # The servers in each quarantine that the store holds, by request.
+        self._stored_servers: dict[str, tuple[str, ...]] = {}
+        self.cleared = ClearedCrashes()
         self.quarantine = QuarantineList()
 
     @property
@@ -113,7 +129,11 @@
         if known is None:
             known = self._remember(crash.server, now)
         known.own = known.own or own
-        new_requests = crash.requests - known.requests - known.cleared
+        new_requests = {
+            request
+            for request in crash.requests - known.requests
+            if not self.cleared.covers(request, crash.server)
+        }
         known.requests |= new_requests
         quarantined = []
         for request in sorted(new_requests):
@@ -133,11 +153,9 @@
         return record
 
     def _forget(self, server: Incarnation) -> None:
-        for request in self._crashes.pop(server).requests:
-            crashes = self._crashes_by_request[request]
-            crashes.discard(server)
-            if not crashes:
-                del self._crashes_by_request[request]
+        for request in list(self._crashes[server].requests):
+            self._remove(request, server)
+        del self._crashes[server]
 
     def _quarantine_request(self, request: str, now: float) -> None:
         crashes = sorted(self._crashes_by_request[request])
@@ -159,18 +177,123 @@
         return True
 
     def release(self, request: str) -> None:
-        """End a request's quarantine, and clear it of all crashes."""
+        """End a request's quarantine, and clear it of all crashes known here."""
+        self.clear(request, self.crashes_against(request))
         self.quarantine.release(request)
-        for server in self._crashes_by_request.pop(request, ()):
-            self._crashes[server].requests.discard(request)
-            self._crashes[server].cleared.add(request)
+
+    def crashes_against(self, request: str) -> list[Incarnation]:
+        """Return the crashes that count against a request, reported or only stored."""
+        reported = sorted(self._crashes_by_request.get(request, ()))
+        reported_ids = {server_id for server_id, _ in reported}
+        held = self.quarantine.get(request)
+        stored_ids = [] if held is None else held.servers
+        return reported + [
+            (server_id, UNKNOWN_BORN_MS)
+            for server_id in stored_ids
+            if server_id not in reported_ids
+        ]
+
+    def clear(
+        self, request: str, crashes: Collection[Incarnation], by_host: str = ""
+    ) -> bool:
+        """Clear a request of crashes, as a host that got a response to it reports.
+
+        The quarantine of the request ends unless enough other crashes count against it.
+
+        Parameters
+        ----------
+        request : str
+            Fingerprint of the request.
+        crashes : collection of Incarnation
+            The crashes before the response, as that host knew them.
+        by_host : str, optional
+            Id of that host; empty for this host.
+
+        Returns
+        -------
+        is_news : bool
+            Whether the request was not cleared of all these crashes before.
+        """
+        if not self.cleared.add(request, crashes, by_host):
+            return False
+        for server in list(self._crashes_by_request.get(request, ())):
+            if self.cleared.covers(request, server):
+                self._remove(request, server)
+        self._review_quarantine(request)
+        return True
+
+    def _remove(self, request: str, server: Incarnation) -> None:
+        self._crashes[server].requests.discard(request)
+        crashes = self._crashes_by_request[request]
+        crashes.discard(server)
+        if not crashes:
+            del self._crashes_by_request[request]
+
+    def _review_quarantine(self, request: str) -> None:
+        """End a request's quarantine if too few crashes are left that count."""
+        held = self.quarantine.get(request)
+        if held is None:
+            return
+        counted_ids = {s for s, _ in self._crashes_by_request.get(request, ())}
+        not_cleared = self.cleared.without_cleared(request, held.servers)
+        left = tuple(s for s in held.servers if s in counted_ids or s in not_cleared)
+        if len(set(left)) < min(QUARANTINE_CRASHES, len(held.servers)):
+            self.quarantine.release(request)
+        else:
+            held.servers = left
 
     def add_stored_quarantine(
         self, request: str, servers: tuple[str, ...], now: float
-    ) -> None:
-        """Add a quarantine that some host has written to the store."""
+    ) -> bool:
+        """Add a quarantine that some host has written to the store.
+
+        Guards against a write or a watch of the store that is late: the request may
+        have been answered since, and would be refused again by all hosts.
+
+        Returns
+        -------
+        holds : bool
+            False if the request is cleared of the crashes that the quarantine names.
+        """
+        self._stored_servers[request] = servers
+        if self._is_outdated(request, servers):
+            return False
         if request not in self.quarantine:
-            self.quarantine.add(request, servers, now)
+            left = self.cleared.without_cleared(request, servers)
+            self.quarantine.add(request, left, now)
+        return True
+
+    def _is_outdated(self, request: str, servers: tuple[str, ...]) -> bool:
+        left = self.cleared.without_cleared(request, servers)
+        return len(left) < len(servers) and len(set(left)) < QUARANTINE_CRASHES
+
+    def is_stored(self, request: str) -> bool:
+        """Return whether the store holds a quarantine of a request that counts.
+
+        One that cannot be decoded does not count, nor one that names crashes of which
+        the request is cleared.
+        """
+        servers = self._stored_servers.get(request)
+        return servers is not None and not self._is_outdated(request, servers)
+
+    def forget_stored(self, request: str) -> tuple[str, ...]:
+        """Forget the stored quarantine of a request; return the servers it named."""
+        return self._stored_servers.pop(request, ())
+
+    def stored_quarantine_deleted(self, request: str) -> None:
+        """End a quarantine that an operator or a host has deleted from the store.
+
+        Guards against the deletion of a quarantine that ended before, which arrives
+        when the request has crashed enough servers again.
+        """
+        servers = self.forget_stored(request)
+        if self.cleared.without_cleared(request, servers):
+            self.release(request)
+
+    def lost_by_store(self, request: str, now: float) -> None:
+        """Note that the store was restored and lacks a quarantine."""
+        self.forget_stored(request)
+        self.quarantine.lost_by_store(request, now)
 
     def review(self, now: float) -> list[str]:
         """Drop old crashes and quarantines; return requests now released."""
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -378,9 +378,18 @@
 
 
 class RequestAnswered(_Message, tag=24):
-    """Reports that a server answered a request that had been running during crashes."""
+    """Reports that a server answered a request that had been running during crashes.
+
+    `crashes` holds the id and `born_ms` of the server runs whose crashes no longer
+    count against the request; `born_ms` is 0 if only the id is known. `host_id` is the
+    host that got the answer.
+    """
 
     request: Fingerprint
+    host_id: str
+    crashes: Annotated[
+        list[tuple[str, UnsignedInt]], Meta(max_length=MAX_SERVERS_PER_MESSAGE)
+    ]
 
 
 class ServerLimits(_Message, tag=28):
--- a/lacewingcross/core/steering.py
+++ b/lacewingcross/core/steering.py
@@ -82,6 +82,8 @@
         This host's budgets of retries.
     rejected : list of Rejected
         Stored objects that could not be decoded.
+    outdated_quarantines : list of str
+        Requests whose stored quarantine was not taken: they are cleared of its crashes.
     table : RouteTable or None
         Routes of the configuration in force; None before the first configuration.
     config_spec : object
@@ -99,6 +101,7 @@
         "config_spec",
         "crashes",
         "host_count",
+        "outdated_quarantines",
         "placement",
         "rejected",
         "replica",
@@ -137,6 +140,7 @@
         self._outage_ended_at = float("-inf")
         self.restored_entries = RestoredEntries()
         self.rejected: list[Rejected] = []
+        self.outdated_quarantines: list[str] = []
 
     def take(self, update: Update, now: float, *, fresh: bool = True) -> list[Document]:
         """Apply an update from the store or another host; return the changed documents.
@@ -179,22 +183,19 @@
             self._restart_waits(now)
             return list(self._without_gone(changed, before, now))
         if kind is Kind.QUARANTINE:
-            return list(self._without_released(changed, before, now))
+            return list(self._without_lost(changed, now))
         return changed
 
-    def _without_released(
-        self, changed: list[Document], before: dict[str, Document], now: float
-    ) -> Iterator[Document]:
-        """Yield the quarantines that a restored store has and this host did not know.
+    def _without_lost(self, changed: list[Document], now: float) -> Iterator[Document]:
+        """Yield the quarantines that a restored store has.
 
         Hosts write quarantines themselves, so what they know is newer than the copy of
-        the store: a quarantine that it lacks is kept and written again, and one that
-        was released is not taken back but deleted again.
+        the store: a quarantine that it lacks is kept and written again.
         """
         for doc in changed:
             if doc.spec is None:
-                self.crashes.quarantine.lost_by_store(doc.name, now)
-            elif doc.name not in before:
+                self.crashes.lost_by_store(doc.name, now)
+            else:
                 yield doc
 
     def _review_kept_evacuations(
@@ -285,10 +286,13 @@
 
     def _take_quarantine(self, doc: Document, now: float) -> None:
         if doc.spec is None:
-            self.crashes.release(doc.name)
-        else:
-            servers = self._decoder.quarantine(doc.name, doc.spec)
-            self.crashes.add_stored_quarantine(doc.name, servers, now)
+            self.crashes.stored_quarantine_deleted(doc.name)
+            return
+        # If the object cannot be decoded, nothing is known of what the store holds.
+        self.crashes.forget_stored(doc.name)
+        servers = self._decoder.quarantine(doc.name, doc.spec)
+        if not self.crashes.add_stored_quarantine(doc.name, servers, now):
+            self.outdated_quarantines.append(doc.name)
 
     @property
     def config_version(self) -> int:
--- a/lacewingcross/gateway/crashes.py
+++ b/lacewingcross/gateway/crashes.py
@@ -6,6 +6,7 @@
 from .. import logs
 from ..core import messages as msg
 from ..core.backend_state import Incarnation, ServerEntry
+from ..core.cleared_crashes import Clearance
 from ..core.crash_gossip import CrashGossip
 from ..core.crashes import CrashLedger, ServerCrash
 from ..core.steering import Steering
@@ -105,7 +106,7 @@
         """
         server = entry.incarnation
         if self.ledger.has_crashed(server):
-            self._record(ServerCrash(server, frozenset((request,))))
+            self.record(ServerCrash(server, frozenset((request,))))
             return None
         self._suspect_requests.setdefault(server, set()).add(request)
         if server not in self._checks:
@@ -125,7 +126,7 @@
         server = entry.incarnation
         requests = frozenset(self._suspect_requests.pop(server, ()))
         if requests or not self.ledger.has_crashed(server):
-            self._record(ServerCrash(server, requests))
+            self.record(ServerCrash(server, requests))
 
     def answered(self, request: str) -> None:
         """Note that a server has answered a request.
@@ -179,13 +180,15 @@
             The message.
         """
         if isinstance(message, msg.RequestAnswered):
-            if self.ledger.answered(message.request):
+            crashes = message.crashes
+            if self.ledger.clear(message.request, crashes, message.host_id):
                 self._announce_cleared(message.request, source)
             return
         server = (message.server_id, message.born_ms)
-        self._record(ServerCrash(server, frozenset(message.requests)), source)
+        self.record(ServerCrash(server, frozenset(message.requests)), source)
 
-    def _record(self, crash: ServerCrash, source: str = "") -> None:
+    def record(self, crash: ServerCrash, source: str = "") -> None:
+        """Record a crash that this host has observed, or the host `source` reports."""
         now = self._now()
         is_new = not self.ledger.has_crashed(crash.server)
         changed, quarantined = self.ledger.record_crash(crash, now, own=not source)
@@ -230,7 +233,15 @@
         )
 
     def _announce_cleared(self, request: str, source: str) -> None:
-        logs.event("request-cleared", request=request, source=source or "own")
+        clearance = self.ledger.cleared.get(request) or Clearance("")
+        logs.event(
+            "request-cleared",
+            request=request,
+            source=source or "own",
+            answered_by=clearance.by_host or "own",
+            servers=clearance.server_ids,
+            quarantined=request in self.ledger.quarantine,
+        )
         self.gossip.answered(request, source)
         self.on_gossip()
 
--- a/lacewingcross/gateway/gossip_sender.py
+++ b/lacewingcross/gateway/gossip_sender.py
@@ -262,7 +262,8 @@
                 yield item
 
     def _gossip_frame(self, item: GossipItem) -> tuple[bytes, type[msg.Message]]:
-        message = gossip_message(item, self._gateway.crashes.ledger)
+        own_id = self._gateway.roster.own.host_id
+        message = gossip_message(item, self._gateway.crashes.ledger, own_id)
         return encode(message), type(message)
 
 
@@ -311,9 +312,20 @@
         yield items[first : first + msg.MAX_SERVERS_PER_MESSAGE]
 
 
-def gossip_message(item: GossipItem, ledger: CrashLedger) -> msg.Message:
-    """Return the message that carries an item of crash gossip."""
+def gossip_message(item: GossipItem, ledger: CrashLedger, own_id: str) -> msg.Message:
+    """Return the message that carries an item of crash gossip of the host `own_id`."""
     if item.answered:
-        return msg.RequestAnswered(item.answered)
+        return _answered_message(item.answered, ledger, own_id)
     requests = sorted(ledger.crash_requests(item.crashed))
     return msg.ServerEnded(*item.crashed, requests[: msg.MAX_REQUESTS_PER_MESSAGE])
+
+
+def _answered_message(
+    request: str, ledger: CrashLedger, own_id: str
+) -> msg.RequestAnswered:
+    clearance = ledger.cleared.get(request)
+    if clearance is None:
+        # Dropped since then; the message clears nothing.
+        return msg.RequestAnswered(request, own_id, [])
+    by_host = clearance.by_host or own_id
+    return msg.RequestAnswered(request, by_host, list(clearance.crashes))
--- a/lacewingcross/gateway/quarantine_store.py
+++ b/lacewingcross/gateway/quarantine_store.py
@@ -5,7 +5,7 @@
 from .. import logs
 from ..backoff import Backoff
 from ..core.quarantine import Quarantine
-from ..core.replica import Kind
+from ..core.replica import Document, Kind
 from ..errors import PlatformError
 from ..platform.store import ObjectStore
 from .context import Gateway
@@ -49,34 +49,37 @@
         while True:
             await asyncio.sleep(REVIEW_INTERVAL_S)
             try:
-                await self._review()
+                await self.review()
                 backoff.reset()
             except PlatformError as exc:
                 self._gateway.metrics.count(f"store.quarantine-{exc.code}")
                 await backoff.wait()
 
-    async def _review(self) -> None:
+    async def review(self) -> None:
+        """Make the writes that are due: store some quarantines, and delete others."""
+        ledger = self._gateway.crashes.ledger
         for request, entry in self._to_store():
-            await self._store.put_quarantine(request, entry.servers)
+            # The request may have been answered while the writes before were made.
+            if ledger.quarantine.get(request) is not entry:
+                continue
+            outdated = self._stored().get(request)
+            await self._store.put_quarantine(request, entry.servers, outdated)
             logs.event("quarantine-stored", request=request, servers=entry.servers)
         if self._gateway.rank == 0:
-            for request in self._to_delete():
-                await self._store.delete_quarantine(request)
-                logs.event("quarantine-deleted", request=request)
+            for stored in self._to_delete():
+                await self._store.delete_quarantine(stored)
+                logs.event("quarantine-deleted", request=stored.name)
 
-    def _stored(self) -> set[str]:
+    def _stored(self) -> dict[str, Document]:
         documents = self._gateway.steering.replica.known(Kind.QUARANTINE)
-        return {doc.name for doc in documents}
+        return {doc.name: doc for doc in documents}
 
     def _to_store(self) -> list[tuple[str, Quarantine]]:
-        quarantine = self._gateway.crashes.ledger.quarantine
-        if not quarantine:
-            return []
-        stored = self._stored()
+        ledger = self._gateway.crashes.ledger
         return [
             (request, entry)
-            for request, entry in quarantine.items()
-            if request not in stored and self._should_store(entry)
+            for request, entry in ledger.quarantine.items()
+            if not ledger.is_stored(request) and self._should_store(entry)
         ]
 
     def _should_store(self, entry: Quarantine) -> bool:
@@ -93,8 +96,8 @@
         waited_s = self._gateway.now() - entry.since
         return rank is not None and waited_s > (1 + rank) * STEP_IN_DELAY_S
 
-    def _to_delete(self) -> set[str]:
+    def _to_delete(self) -> list[Document]:
         # Read again here, since the writes before take time: a request that was just
         # stored may have been released meanwhile.
         quarantine = self._gateway.crashes.ledger.quarantine
-        return {request for request in self._stored() if request not in quarantine}
+        return [doc for name, doc in self._stored().items() if name not in quarantine]
--- a/lacewingcross/gateway/store_follower.py
+++ b/lacewingcross/gateway/store_follower.py
@@ -9,6 +9,7 @@
 
 from .. import logs
 from ..backoff import Backoff
+from ..core.cleared_crashes import Clearance
 from ..core.replica import Document, Kind, Update
 from ..core.store_position import START, StorePosition
 from ..core.watch_election import FIRST_WAIT_S, watch_wait_s
@@ -273,9 +274,10 @@
 def log_changes(
     gateway: Gateway, update: Update, changed: list[Document], source: str
 ) -> None:
-    """Log each change that this host has applied, and each object it has rejected.
+    """Log each change that this host has applied, and each object it has not.
 
-    Rejected objects are counted, and the list of them is emptied.
+    Rejected objects are counted. The lists of rejected objects and of outdated
+    quarantines are emptied.
 
     Parameters
     ----------
@@ -300,6 +302,8 @@
             revision=rejected.document.position,
             why=rejected.why,
         )
+    while steering.outdated_quarantines:
+        _log_outdated(steering.outdated_quarantines.pop(), gateway, source)
     for doc in changed:
         logs.event(
             "store-change",
@@ -311,3 +315,17 @@
             source=source,
             config=steering.config_version,
         )
+
+
+def _log_outdated(request: str, gateway: Gateway, source: str) -> None:
+    """Log why a stored quarantine was not taken, and which host has ended it."""
+    clearance = gateway.crashes.ledger.cleared.get(request) or Clearance("")
+    gateway.metrics.count("quarantines.not-taken")
+    logs.event(
+        "quarantine-not-taken",
+        request=request,
+        why="cleared",
+        answered_by=clearance.by_host or "own",
+        servers=clearance.server_ids,
+        source=source,
+    )
--- a/lacewingcross/platform/store.py
+++ b/lacewingcross/platform/store.py
@@ -112,7 +112,9 @@
         """Remove an entry host from the list."""
         await self._delete(HOSTS_PATH, host_id)
 
-    async def put_quarantine(self, request: str, servers: tuple[str, ...]) -> None:
+    async def put_quarantine(
+        self, request: str, servers: tuple[str, ...], outdated: Document | None = None
+    ) -> None:
         """Store the quarantine of a request; do nothing if it is stored already.
 
         Parameters
@@ -121,17 +123,29 @@
             Fingerprint of the request.
         servers : tuple of str
             Ids of the servers that crashed while running it.
+        outdated : Document, optional
+            The stored quarantine that is to be replaced, unless it has changed since.
         """
         kind = KIND_PATHS[Kind.QUARANTINE]
+        spec = {"servers": list(servers)}
         try:
-            await self._api.create(kind, request, {"servers": list(servers)})
+            if outdated is None:
+                await self._api.create(kind, request, spec)
+            else:
+                revision = outdated.position.revision
+                await self._api.replace(kind, request, spec, revision)
         except PlatformError as exc:
-            if exc.code != "conflict":
+            if exc.code not in ("conflict", "not-found"):
                 raise
 
-    async def delete_quarantine(self, request: str) -> None:
-        """Delete the quarantine of a request."""
-        await self._delete(KIND_PATHS[Kind.QUARANTINE], request)
+    async def delete_quarantine(self, stored: Document) -> None:
+        """Delete a stored quarantine unless it has changed since."""
+        kind = KIND_PATHS[Kind.QUARANTINE]
+        try:
+            await self._api.delete(kind, stored.name, stored.position.revision)
+        except PlatformError as exc:
+            if exc.code not in ("conflict", "not-found"):
+                raise
 
     async def _delete(self, kind: str, name: str) -> None:
         """Delete an object; do nothing if it no longer exists."""
--- a/lacewingcross/standins/object_store.py
+++ b/lacewingcross/standins/object_store.py
@@ -66,6 +66,9 @@
         Every write is carried out and not answered.
     lose_answers : int
         Number of further writes that are carried out and not answered.
+    late_writes_s, late_watches_s : dict of str to float
+        Delays by kind, in seconds: of carrying out each write, and of answering each
+        watch that has found a change.
     stale_since : int
         A revision, or 0 for no fault. A listing for which the caller allows stale data
         lacks the objects that were created after this revision.
@@ -75,6 +78,8 @@
     slow_s: float = 0.0
     lost_writes: bool = False
     lose_answers: int = 0
+    late_writes_s: dict[str, float] = field(default_factory=dict)
+    late_watches_s: dict[str, float] = field(default_factory=dict)
     stale_since: int = 0
 
     def lose_answer(self) -> bool:
@@ -307,7 +312,11 @@
                 continue
         changes.sort(key=lambda obj: obj.revision)
         events = [{"object": obj.as_data(), "deleted": obj.deleted} for obj in changes]
-        await self._send(exchange, 200, {"events": events, "as_of": self.revision})
+        data = {"events": events, "as_of": self.revision}
+        late_s = self.faults.late_watches_s.get(kind, 0.0)
+        if changes and late_s:
+            await asyncio.sleep(late_s)
+        await self._send(exchange, 200, data)
 
     async def _get(self, exchange: Exchange, kind: str, name: str) -> None:
         stored = self._objects.get(kind, {}).get(name)
@@ -326,6 +335,9 @@
         kind, name = kind_and_name
         method = exchange.head.method
         self.creations[kind] += method == "POST"
+        late_s = self.faults.late_writes_s.get(kind, 0.0)
+        if late_s:
+            await asyncio.sleep(late_s)
         stored = self._objects.get(kind, {}).get(name)
         exists = stored is not None and not stored.deleted
         if method != "POST" and not exists:
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -31,8 +31,12 @@
         if updated:
             self.reports.crashed(crash.server, source)
 
-    def clear(self, request, source=""):
+    def clear(self, request):
         if self.ledger.answered(request):
+            self.reports.answered(request)
+
+    def receive_clearance(self, request, crashes, by_host, source):
+        if self.ledger.clear(request, crashes, by_host):
             self.reports.answered(request, source)
 
 
@@ -158,7 +162,11 @@
 
     def _receive(self, other, report, host):
         if report.answered:
-            other.clear(report.answered, host.name)
+            clearance = host.ledger.cleared.get(report.answered)
+            by_host = clearance.by_host or host.name
+            other.receive_clearance(
+                report.answered, list(clearance.crashes), by_host, host.name
+            )
             return
         crash = ServerCrash(report.crashed, host.ledger.crash_requests(report.crashed))
         other.record(crash, self.now, host.name)
@@ -186,5 +194,5 @@
         for request in self.store.keys() - host.documents:
             host.ledger.add_stored_quarantine(request, self.store[request], self.now)
         for request in host.documents - self.store.keys():
-            host.ledger.release(request)
+            host.ledger.stored_quarantine_deleted(request)
         host.documents = set(self.store)
--- /dev/null
+++ b/tests/quarantine_model.py
@@ -0,0 +1,110 @@
+"""Hosts that store quarantines and tell each other of crashes, in virtual time.
+
+There is no network. The test delivers each message, answer and write now, late or
+never. The hosts use the product's own ledger, gossip, copy of the store and writer.
+"""
+
+import random
+
+from lacewingcross.core.placement import Placement
+from lacewingcross.core.replica import Kind
+from lacewingcross.core.steering import Steering
+from lacewingcross.core.store_position import START
+from lacewingcross.gateway.crashes import CrashWatch
+from lacewingcross.gateway.gossip_sender import gossip_message
+from lacewingcross.gateway.quarantine_store import QuarantineStore
+from lacewingcross.metrics import Metrics
+from lacewingcross.platform.objects import ObjectDecoder
+
+from .restored_store_model import ModelStore
+
+KIND = Kind.QUARANTINE
+
+
+class QuarantineObjects(ModelStore):
+    """A store of quarantines that checks the revision in conditional writes."""
+
+    def __init__(self):
+        super().__init__()
+        self.objects[KIND] = {}
+
+    def create(self, name, spec):
+        if name not in self.specs(KIND):
+            self.write(KIND, name, spec)
+
+    def change(self, name, spec, revision):
+        if name in self.specs(KIND) and self.objects[KIND][name][0] == revision:
+            self.write(KIND, name, spec)
+
+
+class RecordedWrites:
+    """Takes the place of a host's store client; keeps each write for the test."""
+
+    def __init__(self, store):
+        self._store = store
+        self.writes = []
+
+    async def put_quarantine(self, request, servers, outdated=None):
+        spec = {"servers": list(servers)}
+        if outdated is None:
+            self.writes.append(lambda: self._store.create(request, spec))
+        else:
+            revision = outdated.position.revision
+            self.writes.append(lambda: self._store.change(request, spec, revision))
+
+    async def delete_quarantine(self, stored):
+        revision = stored.position.revision
+        self.writes.append(lambda: self._store.change(stored.name, None, revision))
+
+
+class QuarantineHost:
+    """One run of a host; `rank` is that among the hosts that may watch the store."""
+
+    def __init__(self, name, rank, store, now):
+        rng = random.Random(1)
+        placement = Placement("a", {"a1": "a"}, rng, 1.5, 5.0)
+        self.name = name
+        self.rank = rank
+        self.now = now
+        self.steering = Steering(placement, ObjectDecoder(), rng, 0.2, 64.0)
+        self.crashes = CrashWatch(self.steering, None, Metrics(), now)
+        self.ledger = self.crashes.ledger
+        self.client = RecordedWrites(store)
+        self.writer = QuarantineStore(self, self.client)
+        # Sequence number up to which gossip was sent to each other host.
+        self.sent_up_to = {}
+
+    def writes(self):
+        """Return the writes that the host makes now, in order."""
+        self.client.writes = []
+        review = self.writer.review()
+        try:
+            review.send(None)
+        except StopIteration:
+            return self.client.writes
+        raise AssertionError("the review waited for something else than the store")
+
+    def messages_to(self, name):
+        """Return the gossip that is new to another host."""
+        gossip = self.crashes.gossip
+        items = [
+            item
+            for item in gossip.since(self.sent_up_to.get(name))
+            if item.source != name
+        ]
+        self.sent_up_to[name] = gossip.newest
+        return [gossip_message(item, self.ledger, self.name) for item in items]
+
+    def ask_store(self, store):
+        """Return the answer to the call that a watching host would make."""
+        as_of = self.steering.replica.as_of(KIND)
+        if as_of == START or store.era > as_of.era:
+            return store.listing(KIND)
+        update = store.watch(KIND, as_of)
+        return store.listing(KIND) if update is None else update
+
+    def take(self, update):
+        self.steering.take(update, self.now())
+
+    def refuses(self, request):
+        return request in self.ledger.quarantine
--- /dev/null
+++ b/tests/test_cleared_quarantines.py
@@ -0,0 +1,117 @@
+"""Requests that a server answers while their quarantine is on its way to the store."""
+
+import asyncio
+
+import pytest
+
+from .crashing_servers import CrashingServers
+from .gateway_parts import answer, ask, fleet, until
+from .test_gateway import in_loop
+
+KIND = "quarantined-requests"
+POPULAR = "/safe/popular"
+NOT_RUN = b"X-Lacewingcross-Not-Executed: 1\r\n"
+# Delay of the store's writes and watches of quarantines, in seconds.
+LATE_S = 0.3
+# Time after which each host has heard of the answer and of all writes, in seconds.
+QUIET_S = 1.5
+
+
+class PopularRequestServers(CrashingServers):
+    """Servers of which one holds the first copy of a popular request.
+
+    That server rejects all other copies until the first one is answered, which is when
+    `go` is set. The servers of the next three copies crash.
+    """
+
+    def __init__(self, env):
+        super().__init__(env)
+        self.go = asyncio.Event()
+        self.holder = None
+
+    async def _behave(self, received, writer):
+        server = self._server_of(writer)
+        if received.target == POPULAR:
+            self.arrivals.append(received.request_id)
+            if self.holder is None:
+                self.holder = server
+                await self.go.wait()
+            elif server is self.holder and not self.go.is_set():
+                writer.write(answer(received.request_id, status=503, extra=NOT_RUN))
+                return True
+            elif len(self.ends) < 3:
+                self.crash(server)
+                return False
+        writer.write(answer(received.request_id, received.target.encode()))
+        return True
+
+
+async def four_hosts(env):
+    domains = ("a1", "a2", "b1", "b1")
+    apps = [await env.add_host(domain=domain) for domain in domains]
+    for app in apps:
+        await env.ready(app)
+    return apps
+
+
+async def crash_three(env, servers, apps):
+    """Have the popular request held once and crash three servers, then be refused."""
+    held = asyncio.ensure_future(ask(apps[0], POPULAR, "held", remaining_ms=9000))
+    await until(lambda: servers.arrivals)
+    for index in range(3):
+        if len(servers.ends) < 3:
+            await ask(apps[1 + index], POPULAR, f"copy-{index}")
+            await asyncio.sleep(0.1)
+    await until(lambda: env.store.creations[KIND])
+    return held
+
+
+async def refusals(apps):
+    """Return how many of four requests to each host are refused."""
+    statuses = [
+        (await ask(app, POPULAR, f"later-{index}-{number}")).status
+        for index, app in enumerate(apps)
+        for number in range(4)
+    ]
+    return sum(status != 200 for status in statuses)
+
+
+async def run_late(*, writes_s=0.0, watches_s=0.0, restarts=0):
+    """Answer the held copy while its quarantine is being stored, and wait.
+
+    The last `restarts` hosts lose their memory in that moment.
+    """
+    async with fleet() as env:
+        env.configure(timeout_s=9.0)
+        servers = await PopularRequestServers(env).start(8)
+        try:
+            apps = await four_hosts(env)
+            env.store.faults.late_writes_s[KIND] = writes_s
+            env.store.faults.late_watches_s[KIND] = watches_s
+            held = await crash_three(env, servers, apps)
+            servers.go.set()
+            assert (await held).status == 200
+            for index in range(len(apps) - restarts, len(apps)):
+                env.tasks[index].cancel()
+                await asyncio.wait((env.tasks[index],))
+                apps[index] = await env.ready(await env.add_host(domain="b1"))
+            await asyncio.sleep(QUIET_S)
+            assert await refusals(apps) == 0
+            await until(lambda: env.store.names(KIND) == [])
+        finally:
+            await servers.close()
+
+
+@pytest.mark.parametrize(
+    ("writes_s", "watches_s"), [(0.0, LATE_S), (LATE_S, 0.0), (LATE_S, LATE_S)]
+)
+def test_a_request_that_is_answered_while_it_is_stored_is_served_by_all_hosts(
+    writes_s, watches_s
+):
+    # Guards against a late write or watch that brings an ended quarantine back.
+    in_loop(run_late)(writes_s=writes_s, watches_s=watches_s)
+
+
+def test_hosts_that_start_while_it_is_stored_serve_it_too():
+    # Guards against a host that reads a quarantine and does not know of the answer.
+    in_loop(run_late)(writes_s=LATE_S, watches_s=LATE_S, restarts=2)
