Machine of quarantines: an answer that no host remembers clears nothing

3,000 examples of 60 steps found one failure: a host stores a quarantine, gets an answer and ends before it has told anybody. Nobody is left who knows of the answer, so refusing is allowed; the machine now counts such crashes as open again. Its check stays as it was.

--- a/tests/test_quarantine_machine.py
+++ b/tests/test_quarantine_machine.py
@@ -37,8 +37,9 @@
 class Quarantines(RuleBasedStateMachine):
     """Four hosts, a store, and two requests under which servers crash.
 
-    A crash is known by its number. `open_crashes` holds those of each request that no
-    host which knew of them got an answer after.
+    `open_crashes` holds the servers that crashed under each request, except those whose
+    crash was known to a host that got an answer later. They are added again if no host
+    remembers the answer.
     """
 
     def __init__(self):
@@ -48,6 +49,7 @@
         self.hosts = [self.new_host(index) for index in range(HOSTS)]
         self.crash_count = 0
         self.open_crashes = {BAD: set(), POPULAR: set()}
+        self.cleared_crashes = {BAD: set(), POPULAR: set()}
         self.backups = []
         # Writes, answers of the store and messages that have not arrived yet.
         self.late = []
@@ -83,6 +85,7 @@
         host.crashes.answered(name)
         assert not host.refuses(name)
         self.open_crashes[name] -= known
+        self.cleared_crashes[name] |= known
 
     @rule(index=host_indexes, arrival=st.sampled_from(["now", "late", "unanswered"]))
     def a_host_writes(self, index, arrival):
@@ -135,6 +138,16 @@
         self.hosts[index] = self.new_host(index)
         for host in self.hosts:
             host.sent_up_to.pop(f"host-{index}", None)
+        for name, cleared in self.cleared_crashes.items():
+            ledgers = [host.ledger for host in self.hosts]
+            forgotten = {
+                server
+                for server in cleared
+                if not any(
+                    ld.cleared.without_cleared(name, [server]) == () for ld in ledgers
+                )
+            }
+            self.open_crashes[name] |= forgotten
 
     @rule()
     def the_store_is_copied(self):
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -84,6 +84,7 @@
             rng=random.Random(1),
             replica=replica,
             rejected=[],
+            outdated_quarantines=[],
             table=None,
             store_age=lambda now: 0.0,
         ),
