A host that leaves registers no more, and deletes its entry after its last write

What was seen: a host that shuts down while its registration waits for a slow store, or that reads the list of hosts while it finishes its requests, is listed for good: its own write arrives after its deletion. Callers are not sent there, since hosts are judged by their messages, but each host that starts learns of a host that is gone.

Cause: the echo of an own write undoes a decision made since, as with the quarantines. The task that keeps the entry went on while the host left.

Fix: writes of the entry hold a lock and stop once the host leaves; the deletion waits for the lock. A registration whose answer was lost may still arrive later: its outcome is unknown to the host.

--- a/lacewingcross/gateway/host_directory.py
+++ b/lacewingcross/gateway/host_directory.py
@@ -32,6 +32,11 @@
     comes back from a copy that is older. Hosts that start later would not find it. So
     each host checks its own entry after a restore.
 
+    Guards against an entry of a host that has left, which would stay in the list for
+    good: this host registers or checks its entry while it shuts down, and the write
+    arrives after the deletion. So a host that leaves writes no more, and waits for its
+    last write before it deletes the entry.
+
     Parameters
     ----------
     gateway : Gateway
@@ -40,14 +45,18 @@
         Client of the store.
     """
 
-    __slots__ = ("_alone_reads", "_era", "_gateway", "_store")
+    __slots__ = ("_alone_reads", "_era", "_gateway", "_left", "_store", "_writing")
 
     def __init__(self, gateway: Gateway, store: ObjectStore) -> None:
         self._gateway = gateway
         self._alone_reads = 0
         # Era of the store in which the entry of this host was last seen there.
         self._era = 0
+        # Whether this host has begun to delete its entry.
+        self._left = False
         self._store = store
+        # Held during a write of this host's entry.
+        self._writing = asyncio.Lock()
 
     async def run(self) -> None:
         """Register this host, then read the list of hosts at intervals.
@@ -87,8 +96,7 @@
         era = self._known_era()
         await asyncio.sleep(self._gateway.steering.rng.uniform(0.0, CHECK_SPREAD_S))
         own = self._gateway.roster.own
-        if await self._store.host(own.host_id) != own:
-            await self._store.put_host(own)
+        if await self._store.host(own.host_id) != own and await self._write_entry():
             logs.event("host-registered-again", era=era)
         self._era = era
 
@@ -97,7 +105,15 @@
             # This host is missing from the list, or is listed with other fields. An
             # earlier run of it requested the deletion of its entry, and the store may
             # carry that out seconds late.
+            await self._write_entry()
+
+    async def _write_entry(self) -> bool:
+        """Write this host's entry unless the host leaves; return whether it did."""
+        async with self._writing:
+            if self._left:
+                return False
             await self._store.put_host(self._gateway.roster.own)
+            return True
 
     def _has_live_peers(self) -> bool:
         return len(self._gateway.roster.live(self._gateway.now())) > 1
@@ -129,7 +145,7 @@
         if not self._gateway.cfg.first_start and await self._read_list(stale=False):
             self._gateway.roster.was_listed = True
             return
-        await self._store.put_host(self._gateway.roster.own)
+        await self._write_entry()
         await self._read_list(stale=False)
 
     async def _read_list(self, *, stale: bool) -> bool:
@@ -160,7 +176,9 @@
 
         A failure is logged and not raised.
         """
+        self._left = True
         try:
-            await self._store.delete_host(self._gateway.roster.own.host_id)
+            async with self._writing:
+                await self._store.delete_host(self._gateway.roster.own.host_id)
         except PlatformError as exc:
             logs.event("host-not-unnamed", "WARNING", code=exc.code, why=exc.message)
