End resources of the lost time on hosts that did not list the restored store

What operators would see, in the daemon with the project's own resources: the store comes back from an older copy, and a drain or cap that it lost stays in force on the hosts that knew it, unless the host that lists the store knew it too.

Cause: only the listing host infers deletions, and only of objects that it knows; what it sends to others names what exists.

Fix: after a restore each object that exists has a version of the new era. So a host whose entries are of an earlier era ends those that a complete push of a later era does not name.

--- a/lacewingcross/core/config.py
+++ b/lacewingcross/core/config.py
@@ -2,13 +2,14 @@
 
 import json
 from bisect import bisect_right
-from collections.abc import Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from ..errors import ResourceError
 from . import resources as res
 from .blocks import BlockIndex
 from .plan import Plan, decode_plan
+from .store_position import StorePosition
 
 CONFIG_KINDS = (res.POLICY, res.CAP, res.POOL, res.DRAIN, res.BLOCKS, res.PLAN)
 
@@ -52,7 +53,7 @@
     rejected: dict[str, str] = field(default_factory=dict)
 
     def merge(
-        self, entries: Iterator[Entry], revision: int, complete: bool
+        self, entries: Iterable[Entry], revision: int, complete: bool
     ) -> list[str]:
         """Merge entries; return the keys that changed.
 
@@ -65,8 +66,11 @@
         complete : bool
             Whether `entries` include every change above this host's own revision.
         """
+        merged = list(entries)
+        if complete and self.complete:
+            merged += self._lost_by_store(merged, revision)
         changed = []
-        for entry in entries:
+        for entry in merged:
             known = self.entries.get(entry.key)
             if known is not None and known.version >= entry.version:
                 continue
@@ -78,6 +82,25 @@
             self.complete = True
         return changed
 
+    def _lost_by_store(self, entries: list[Entry], revision: int) -> list[Entry]:
+        """Return deletions of the objects that a restored store lacks.
+
+        Guards against an object that stays in force for good because the host that
+        listed the store did not know it. After a restore each object that exists has a
+        position of the new era, so `entries` name all of them.
+        """
+        era = StorePosition.from_version(revision).era
+        if era <= StorePosition.from_version(self.revision).era:
+            return []
+        present = {entry.key for entry in entries}
+        return [
+            Entry(known.key, revision, "")
+            for known in self.entries.values()
+            if known.text
+            and known.key not in present
+            and StorePosition.from_version(known.version).era < era
+        ]
+
     def above(self, version: int) -> list[Entry]:
         """Return the entries with a version above `version`, oldest first."""
         newer = (item for item in self.entries.values() if item.version > version)
