Clear requests that were answered between a crash and its report

What callers saw: a request is answered, and yet the crash before the answer counts against it; with three such crashes all hosts refuse it until its next trial.

Cause: a host hears of a crash some tens of milliseconds after it. First the server is checked, a network round trip, then the report travels. An answer in this time met a host that knew of no crash, so it cleared nothing, and the crash counted when the report came.

Evidence: two tests failed without the fix (counts [1, 1] in place of [0, 0] for an answer at a host that hears of the crash 50 ms later; 1 in place of 0 for one during the check of the server). The third test holds both ways: an answer before a crash does not clear it.

Fix: each host remembers the requests that were answered in the last second, and reports carry how long ago the last request there lost its connection. The travel time is unknown and taken as 0, so the crash never seems earlier than it was, and an answer before it clears nothing. What is left open is an answer during the travel of the report itself.

Fingerprints of requests without a body are computed only when a crash is reported.

--- a/lacewingcross/core/crashes.py
+++ b/lacewingcross/core/crashes.py
@@ -38,10 +38,13 @@
 
     `requests` holds the fingerprints of requests that were running at the server. It
     may be empty, and several hosts may each report the requests that they had sent.
+    `broke_at` is the latest monotonic time at which the connection of one of them can
+    have broken, in seconds; None for the time of the report.
     """
 
     server: Incarnation
     requests: frozenset[str] = frozenset()
+    broke_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -49,11 +52,13 @@
     """One crash; `first_report_at` is the monotonic time of its first report.
 
     `own` says whether this host has observed the crash itself. `requests` are the
-    requests that the crash counts against.
+    requests that the crash counts against. `broke_at` is as in `ServerCrash`, over all
+    reports.
     """
 
     first_report_at: float
     own: bool = False
+    broke_at: float = float("-inf")
     requests: set[str] = field(default_factory=set)
 
 
@@ -102,6 +107,14 @@
         record = self._crashes.get(server)
         return frozenset(record.requests) if record else frozenset()
 
+    def broke_at(self, server: Incarnation) -> float:
+        """Return the latest time at which a connection of a crash can have broken.
+
+        It is monotonic, in seconds, and minus infinity if no request is known that was
+        running at the server.
+        """
+        return self._crashes[server].broke_at
+
     def record_crash(
         self, crash: ServerCrash, now: float, *, own: bool = False
     ) -> tuple[bool, list[str]]:
@@ -135,6 +148,9 @@
             if not self.cleared.covers(request, crash.server)
         }
         known.requests |= new_requests
+        if new_requests:
+            broke_at = now if crash.broke_at is None else min(now, crash.broke_at)
+            known.broke_at = max(known.broke_at, broke_at)
         quarantined = []
         for request in sorted(new_requests):
             self._crashes_by_request.setdefault(request, set()).add(crash.server)
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -327,12 +327,14 @@
     """Reports the crash of a backend server and the requests that ran on it.
 
     `requests` holds the fingerprints of these requests; the message is sent again when
-    more of them are known. `born_ms` distinguishes the runs of a server.
+    more of them are known. `born_ms` distinguishes the runs of a server. `age_s` is the
+    time since the last of these requests lost its connection to the server, in seconds.
     """
 
     server_id: str
     born_ms: int
     requests: Annotated[list[Fingerprint], Meta(max_length=MAX_REQUESTS_PER_MESSAGE)]
+    age_s: Annotated[float, Meta(ge=0, le=MAX_FLOAT)] = 0.0
 
 
 class QuotaLease(_Message, tag=25):
--- a/lacewingcross/gateway/crashes.py
+++ b/lacewingcross/gateway/crashes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from .. import logs
 from ..core import messages as msg
@@ -9,6 +10,7 @@
 from ..core.cleared_crashes import Clearance
 from ..core.crash_gossip import CrashGossip
 from ..core.crashes import CrashLedger, ServerCrash
+from ..core.recent_answers import RecentAnswers
 from ..core.steering import Steering
 from ..http1_client import HttpError
 from ..metrics import Metrics
@@ -23,6 +25,17 @@
 MAX_CHECKS = 3
 
 
+@dataclass(slots=True)
+class BrokenConnections:
+    """The requests whose connections to a server broke, and when the last one did.
+
+    `requests` holds their fingerprints. The time is monotonic, in seconds.
+    """
+
+    requests: set[str] = field(default_factory=set)
+    last_at: float = float("-inf")
+
+
 class CrashWatch:
     """Checks servers whose connections broke and records crashes in the ledger.
 
@@ -54,10 +67,11 @@
 
     __slots__ = (
         "_backends",
-        "_suspect_requests",
+        "_broken",
         "_checks",
         "_metrics",
         "_now",
+        "_recent_answers",
         "_steering",
         "gossip",
         "on_gossip",
@@ -74,9 +88,9 @@
         self._backends = backends
         self._metrics = metrics
         self._now = now
-        # Fingerprints of the requests whose connection to a server broke, until the
-        # check of that server has ended.
-        self._suspect_requests: dict[Incarnation, set[str]] = {}
+        # The connections to a server that broke, until its check has ended.
+        self._broken: dict[Incarnation, BrokenConnections] = {}
+        self._recent_answers = RecentAnswers()
         self._checks: dict[Incarnation, asyncio.Task[None]] = {}
         self.gossip = CrashGossip(steering.crashes)
         self.on_gossip: Callable[[], None] = lambda: None
@@ -106,9 +120,11 @@
         """
         server = entry.incarnation
         if self.ledger.has_crashed(server):
-            self.record(ServerCrash(server, frozenset((request,))))
+            self.record(ServerCrash(server, frozenset((request,)), self._now()))
             return None
-        self._suspect_requests.setdefault(server, set()).add(request)
+        broken = self._broken.setdefault(server, BrokenConnections())
+        broken.requests.add(request)
+        broken.last_at = self._now()
         if server not in self._checks:
             task = asyncio.get_running_loop().create_task(self._check(entry))
             self._checks[server] = task
@@ -124,9 +140,18 @@
         requests whose connections broke here even if it is known already.
         """
         server = entry.incarnation
-        requests = frozenset(self._suspect_requests.pop(server, ()))
-        if requests or not self.ledger.has_crashed(server):
-            self.record(ServerCrash(server, requests))
+        broken = self._broken.pop(server, None)
+        if broken is not None:
+            requests = frozenset(broken.requests)
+            self.record(ServerCrash(server, requests, broken.last_at))
+        elif not self.ledger.has_crashed(server):
+            self.record(ServerCrash(server))
+
+    def note_answer(self, fingerprint: Callable[[], str]) -> None:
+        """Note that a server has answered the request with a fingerprint."""
+        self._recent_answers.add(fingerprint, self._now())
+        if self.ledger.has_suspects:
+            self.answered(fingerprint())
 
     def answered(self, request: str) -> None:
         """Note that a server has answered a request.
@@ -162,9 +187,12 @@
         if reason == REFUSED or self.ledger.has_crashed(entry.incarnation):
             self.connection_refused(entry)
             return
-        requests = self._suspect_requests.pop(entry.incarnation, set())
+        broken = self._broken.pop(entry.incarnation, BrokenConnections())
         logs.event(
-            "server-kept", server=entry.server_id, why=reason, requests=sorted(requests)
+            "server-kept",
+            server=entry.server_id,
+            why=reason,
+            requests=sorted(broken.requests),
         )
 
     def receive(
@@ -185,7 +213,8 @@
                 self._announce_cleared(message.request, source)
             return
         server = (message.server_id, message.born_ms)
-        self.record(ServerCrash(server, frozenset(message.requests)), source)
+        broke_at = self._now() - message.age_s
+        self.record(ServerCrash(server, frozenset(message.requests), broke_at), source)
 
     def record(self, crash: ServerCrash, source: str = "") -> None:
         """Record a crash that this host has observed, or the host `source` reports."""
@@ -207,8 +236,18 @@
         for request in quarantined:
             self._note_quarantine(request)
         self.gossip.crashed(crash.server, source)
+        self._clear_answered(crash.server)
         self.on_gossip()
 
+    def _clear_answered(self, server: Incarnation) -> None:
+        """Clear the requests that were answered here between a crash and its report."""
+        requests = self.ledger.crash_requests(server)
+        if not requests:
+            return
+        for request in self._recent_answers.later_than(self.ledger.broke_at(server)):
+            if request in requests and self.ledger.clear(request, [server]):
+                self._announce_cleared(request, "")
+
     def _skip_server(self, server: Incarnation, now: float) -> None:
         """Skip a server for a while after any host has seen it crash.
 
--- a/lacewingcross/gateway/gossip_sender.py
+++ b/lacewingcross/gateway/gossip_sender.py
@@ -262,8 +262,9 @@
                 yield item
 
     def _gossip_frame(self, item: GossipItem) -> tuple[bytes, type[msg.Message]]:
-        own_id = self._gateway.roster.own.host_id
-        message = gossip_message(item, self._gateway.crashes.ledger, own_id)
+        gateway = self._gateway
+        own_id = gateway.roster.own.host_id
+        message = gossip_message(item, gateway.crashes.ledger, own_id, gateway.now())
         return encode(message), type(message)
 
 
@@ -312,12 +313,17 @@
         yield items[first : first + msg.MAX_SERVERS_PER_MESSAGE]
 
 
-def gossip_message(item: GossipItem, ledger: CrashLedger, own_id: str) -> msg.Message:
+def gossip_message(
+    item: GossipItem, ledger: CrashLedger, own_id: str, now: float
+) -> msg.Message:
     """Return the message that carries an item of crash gossip of the host `own_id`."""
     if item.answered:
         return _answered_message(item.answered, ledger, own_id)
     requests = sorted(ledger.crash_requests(item.crashed))
-    return msg.ServerEnded(*item.crashed, requests[: msg.MAX_REQUESTS_PER_MESSAGE])
+    # Without such a request the age does not matter.
+    age_s = now - ledger.broke_at(item.crashed) if requests else 0.0
+    requests = requests[: msg.MAX_REQUESTS_PER_MESSAGE]
+    return msg.ServerEnded(*item.crashed, requests, max(0.0, age_s))
 
 
 def _answered_message(
--- a/lacewingcross/gateway/repeats.py
+++ b/lacewingcross/gateway/repeats.py
@@ -142,6 +142,9 @@
 
         The request's crash count is reset and its quarantine ends, if it has either.
         """
-        crashes = self._gateway.crashes
-        if crashes.ledger.has_suspects:
-            crashes.answered(self.fingerprint)
+        if self._body.size:
+            # The fingerprint is computed now, so that the body is not kept for it.
+            fingerprint = self.fingerprint
+            self._gateway.crashes.note_answer(lambda: fingerprint)
+        else:
+            self._gateway.crashes.note_answer(lambda: self.fingerprint)
--- a/tests/quarantine_model.py
+++ b/tests/quarantine_model.py
@@ -93,7 +93,9 @@
             if item.source != name
         ]
         self.sent_up_to[name] = gossip.newest
-        return [gossip_message(item, self.ledger, self.name) for item in items]
+        return [
+            gossip_message(item, self.ledger, self.name, self.now()) for item in items
+        ]
 
     def ask_store(self, store):
         """Return the answer to the call that a watching host would make."""
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import pytest
 
 from lacewingcross.core import messages as msg
 from lacewingcross.core.backend_state import ServerEntry
+from lacewingcross.core.crashes import QUARANTINE_CRASHES, ServerCrash
 from lacewingcross.core.placement import Placement
 from lacewingcross.core.steering import Steering
 from lacewingcross.gateway.crashes import CrashWatch
@@ -14,6 +16,8 @@
 from lacewingcross.metrics import Metrics
 from lacewingcross.platform.objects import ObjectDecoder
 
+from .quarantine_model import QuarantineHost, QuarantineObjects
+
 ENTRY = ServerEntry("i-1", "calendar", "10.0.0.1:80", "a1", 4, False, 0.0, 7)
 SERVER = ENTRY.incarnation
 
@@ -34,11 +38,11 @@
         return True
 
 
-def crash_watch(backends):
+def crash_watch(backends, now=lambda: 100.0):
     rng = random.Random(1)
     placement = Placement("a", {"a1": "a"}, rng, 1.5, 5.0)
     steering = Steering(placement, ObjectDecoder(), rng, 0.2, 64.0)
-    return CrashWatch(steering, backends, Metrics(), lambda: 100.0)
+    return CrashWatch(steering, backends, Metrics(), now)
 
 
 def run_scenario(backends, scenario):
@@ -98,3 +102,86 @@
         assert sources == ["host-2", ""]
 
     run_scenario(backends, scenario)
+
+
+class Fleet:
+    """Two hosts that a test lets report to each other, at a time that it sets."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.hosts = {
+            name: QuarantineHost(name, rank, QuarantineObjects(), lambda: self.now)
+            for rank, name in enumerate("ab")
+        }
+        # Their streams are open.
+        self.hosts["a"].sent_up_to["b"] = 0
+        self.hosts["b"].sent_up_to["a"] = 0
+
+    def crash(self, name, server, request):
+        crash = ServerCrash((server, 7), frozenset((request,)), self.now)
+        self.hosts[name].crashes.record(crash)
+
+    def answer(self, name, request):
+        self.hosts[name].crashes.note_answer(lambda: request)
+
+    def report(self, source, target, delay_s=0.0):
+        messages = self.hosts[source].messages_to(target)
+        self.now += delay_s
+        for message in messages:
+            self.hosts[target].crashes.receive(source, message)
+
+    def counts(self, request):
+        return [host.ledger.crash_count(request) for host in self.hosts.values()]
+
+
+def test_an_answer_between_a_crash_and_its_report_clears_the_request():
+    # Guards against a popular request that is refused although a server has answered it
+    # after each crash, at a host that had not heard of the crash.
+    made = Fleet()
+    for index in range(QUARANTINE_CRASHES):
+        made.crash("a", f"i-{index}", "popular")
+        made.now += 0.06
+        made.answer("b", "popular")
+        made.now += 0.03
+        made.report("a", "b", delay_s=0.02)
+        made.report("b", "a")
+        assert made.counts("popular") == [0, 0]
+
+
+def test_an_answer_before_a_crash_does_not_clear_the_request_of_it():
+    made = Fleet()
+    made.answer("b", "bad")
+    made.now += 0.01
+    made.crash("a", "i-1", "bad")
+    made.report("a", "b", delay_s=0.02)
+    made.report("b", "a")
+    assert made.counts("bad") == [1, 1]
+
+
+def test_an_answer_during_the_check_of_a_server_clears_the_request():
+    backends = ScriptedBackends("connect-refused")
+
+    async def scenario(crashes):
+        crashes.now = 100.0
+        check = crashes.watch.connection_broke(ENTRY, "popular")
+        crashes.now += 0.03
+        crashes.watch.note_answer(lambda: "popular")
+        crashes.now += 0.03
+        backends.go.set()
+        await check
+        assert crashes.watch.ledger.has_crashed(SERVER)
+        assert crashes.watch.ledger.crash_count("popular") == 0
+
+    run_timed(backends, scenario)
+
+
+def run_timed(backends, scenario):
+    """Run a scenario whose clock the scenario itself sets, as `now`."""
+
+    async def run():
+        made = SimpleNamespace(now=0.0)
+        made.watch = crash_watch(backends, lambda: made.now)
+        async with asyncio.timeout(10):
+            await scenario(made)
+
+    asyncio.run(run())
--- a/tests/test_quarantine_machine.py
+++ b/tests/test_quarantine_machine.py
@@ -21,6 +21,8 @@
 # Time after which a host of each rank stores a quarantine that is not its own, in
 # seconds.
 STEP_IN_S = 3.0
+# Time between two crashes or answers, in seconds.
+STEP_S = 0.001
 # Rounds of messages and writes in which all that is on its way arrives.
 QUIET_ROUNDS = 8
 host_indexes = st.integers(0, HOSTS - 1)
@@ -60,10 +62,11 @@
     def crash(self, index, *names):
         """Crash one more server under requests that a host has sent to it."""
         self.crash_count += 1
+        self.now += STEP_S
         server = (f"i-{self.crash_count}", 7)
         for name in names:
             self.open_crashes[name].add(server[0])
-        crash = ServerCrash(server, frozenset(names))
+        crash = ServerCrash(server, frozenset(names), self.now)
         self.hosts[index].crashes.record(crash)
 
     @rule(
@@ -82,7 +85,8 @@
         """Answer a copy at a host; a bad request is answered by mistake."""
         host = self.hosts[index]
         known = {server for server, _ in host.ledger.crashes_against(name)}
-        host.crashes.answered(name)
+        self.now += STEP_S
+        host.crashes.note_answer(lambda: name)
         assert not host.refuses(name)
         self.open_crashes[name] -= known
         self.cleared_crashes[name] |= known
@@ -217,7 +221,8 @@
         assert BAD in self.store.specs(KIND)
 
     def check_an_answer_ends_it(self):
-        self.hosts[-1].crashes.answered(BAD)
+        self.now += STEP_S
+        self.hosts[-1].crashes.note_answer(lambda: BAD)
         self.become_quiet()
         assert self.refusing(BAD) == []
         assert BAD not in self.store.specs(KIND)
