Store all crashes of a quarantine, so that an answer clears all of them

What callers saw: after a restore of the store, or after a cut, hosts hold the quarantine of one request because of different crashes. An answer at one of them clears what that host knows, and the others go on refusing.

Cause: a host that held a quarantine ignored what the store named, and what was stored first stayed as it was, also when the hosts knew of further crashes.

Fix: a host takes the servers that the store names into the quarantine that it holds, and replaces the object while the store lacks one that it knows. Beyond 64 servers the choice depends on their names alone, so hosts agree after at most one write each.

--- a/lacewingcross/core/cleared_crashes.py
+++ b/lacewingcross/core/cleared_crashes.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass, field
 
 from .backend_state import Incarnation
+from .quarantine import MAX_SERVERS_KEPT
 
 # Maximum number of requests, and of crashes for each of them, that are kept. The oldest
 # are dropped first.
 MAX_REQUESTS_KEPT = 1000
-MAX_CRASHES_PER_REQUEST = 64
+MAX_CRASHES_PER_REQUEST = 2 * MAX_SERVERS_KEPT
 # Start time of a server whose crash is known only from a stored quarantine, which names
 # servers by id.
 UNKNOWN_BORN_MS = 0
--- a/lacewingcross/core/crashes.py
+++ b/lacewingcross/core/crashes.py
@@ -155,7 +155,7 @@
         for request in sorted(new_requests):
             self._crashes_by_request.setdefault(request, set()).add(crash.server)
             if request in self.quarantine:
-                self.quarantine.crashed_again(request, crash.server[0], now)
+                self.quarantine.crashed_again(request, crash.server[0], now, own=own)
             elif self.crash_count(request) >= QUARANTINE_CRASHES:
                 self._quarantine_request(request, now)
                 quarantined.append(request)
@@ -274,8 +274,10 @@
         self._stored_servers[request] = servers
         if self._is_outdated(request, servers):
             return False
-        if request not in self.quarantine:
-            left = self.cleared.without_cleared(request, servers)
+        left = self.cleared.without_cleared(request, servers)
+        if request in self.quarantine:
+            self.quarantine.add_servers(request, left)
+        else:
             self.quarantine.add(request, left, now)
         return True
 
@@ -284,13 +286,16 @@
         return len(left) < len(servers) and len(set(left)) < QUARANTINE_CRASHES
 
     def is_stored(self, request: str) -> bool:
-        """Return whether the store holds a quarantine of a request that counts.
+        """Return whether the store holds the quarantine of a request as it is here.
 
-        One that cannot be decoded does not count, nor one that names crashes of which
-        the request is cleared.
+        A stored quarantine that cannot be decoded does not count, nor one that lacks a
+        crash: a host that knows only the stored ones could not clear the request of it.
         """
         servers = self._stored_servers.get(request)
-        return servers is not None and not self._is_outdated(request, servers)
+        held = self.quarantine.get(request)
+        if servers is None or self._is_outdated(request, servers):
+            return False
+        return held is None or set(held.servers) <= set(servers)
 
     def forget_stored(self, request: str) -> tuple[str, ...]:
         """Forget the stored quarantine of a request; return the servers it named."""
--- a/lacewingcross/core/quarantine.py
+++ b/lacewingcross/core/quarantine.py
@@ -11,6 +11,8 @@
 
 # Maximum number of quarantined requests; the oldest is dropped first.
 MAX_QUARANTINES_KEPT = 1000
+# Maximum number of servers of one quarantine.
+MAX_SERVERS_KEPT = 64
 # How long a request is refused after the last crash that counts against it, or after
 # its quarantine was read from the store, in seconds, unless a trial clears the request.
 # If no trial clears it in this time, its caller has stopped sending it, or it really
@@ -34,8 +36,8 @@
 
     `servers` are the ids of the servers that crashed while they ran the request. `own`
     says that this host itself observed one of the crashes, and so is the first to store
-    the quarantine. `since` is when this host added the quarantine, or when the store
-    lost it. Times are monotonic, in seconds.
+    the quarantine. `since` is when this host added the quarantine or heard of its last
+    crash, or when the store lost it. Times are monotonic, in seconds.
     """
 
     servers: tuple[str, ...]
@@ -102,16 +104,33 @@
             for other in same_servers:
                 other.next_trial_at = min(other.next_trial_at, soon)
 
-    def crashed_again(self, request: str, server_id: str, now: float) -> None:
+    def crashed_again(
+        self, request: str, server_id: str, now: float, *, own: bool = False
+    ) -> None:
         """Note that one more server has crashed while it ran a quarantined request.
 
-        The quarantine and the time to the next trial start again.
+        The quarantine and the time to the next trial start again, and the host that saw
+        the crash stores it.
         """
         quarantine = self._by_request[request]
-        quarantine.servers = (*quarantine.servers, server_id)
+        self.add_servers(request, (server_id,))
+        quarantine.own = quarantine.own or own
+        quarantine.since = now
         quarantine.until = now + QUARANTINE_S
         quarantine.next_trial_at = now + TRIAL_INTERVAL_S
 
+    def add_servers(self, request: str, server_ids: tuple[str, ...]) -> None:
+        """Add servers to a quarantine.
+
+        Beyond the limit, the first in order of their names are dropped: hosts that
+        learn of the servers in any order keep the same ones, and agree on what to
+        store.
+        """
+        quarantine = self._by_request[request]
+        names = dict.fromkeys((*quarantine.servers, *server_ids))
+        kept = set(sorted(names)[-MAX_SERVERS_KEPT:])
+        quarantine.servers = tuple(name for name in names if name in kept)
+
     def trial_due(self, request: str, now: float) -> bool:
         """Return whether a request is quarantined and its next trial is due."""
         quarantine = self._by_request.get(request)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -22,6 +22,7 @@
 from lacewingcross.core.quarantine import (
     EARLY_TRIAL_S,
     MAX_QUARANTINES_KEPT,
+    MAX_SERVERS_KEPT,
     QUARANTINE_S,
     TRIAL_INTERVAL_S,
 )
@@ -175,6 +176,37 @@
     assert f"s{MAX_QUARANTINES_KEPT + 9}" in ledger.quarantine
 
 
+def test_an_answer_clears_the_crashes_that_only_the_store_names():
+    # Guards against a host that refuses a request since it knows of other crashes than
+    # the host that got the answer.
+    ledger, other = quarantined(), CrashLedger()
+    for known in (ledger, other):
+        known.add_stored_quarantine(BAD, ("i-7", "i-8", "i-9"), 0.0)
+    assert not ledger.is_stored(BAD)
+    ledger.answered(BAD)
+    other.clear(BAD, list(ledger.cleared.get(BAD).crashes))
+    assert BAD not in other.quarantine
+
+
+def test_hosts_agree_on_the_servers_of_a_long_quarantine():
+    # Guards against hosts that replace each other's stored quarantine for ever.
+    names = [f"i-{index:03d}" for index in range(2 * MAX_SERVERS_KEPT)]
+    ledgers = [CrashLedger() for _ in range(3)]
+    for seed, ledger in enumerate(ledgers):
+        order = random.Random(seed).sample(names, len(names))
+        for name in order[: MAX_SERVERS_KEPT + 20]:
+            ledger.record_crash(ServerCrash((name, 1), frozenset((BAD,))), 0.0)
+    writes = 0
+    while not all(ledger.is_stored(BAD) for ledger in ledgers):
+        writer = next(ledger for ledger in ledgers if not ledger.is_stored(BAD))
+        stored = writer.quarantine.get(BAD).servers
+        writes += 1
+        for ledger in ledgers:
+            ledger.add_stored_quarantine(BAD, stored, 0.0)
+        assert writes <= len(ledgers)
+    assert len(stored) == MAX_SERVERS_KEPT
+
+
 class FaultlessLoad:
     """Requests at servers that are killed, though not by a request.
 
