Let a host that starts keep the time of a trial that the store implies

What callers saw: each time a host starts, the trial of a quarantined request is put off by ten minutes there; if that host is the one that runs the trial, callers of a harmless request wait so much longer.

Cause: the host reads the quarantine from the store, then hears of the same crashes from its peers, and took the reports for new crashes. Same class as the echo of an own write.

Fix: a reported crash that the stored quarantine names is no new one.

--- a/lacewingcross/core/crashes.py
+++ b/lacewingcross/core/crashes.py
@@ -155,12 +155,27 @@
         for request in sorted(new_requests):
             self._crashes_by_request.setdefault(request, set()).add(crash.server)
             if request in self.quarantine:
-                self.quarantine.crashed_again(request, crash.server[0], now, own=own)
+                self._crashed_again(request, crash.server, now, own=own)
             elif self.crash_count(request) >= QUARANTINE_CRASHES:
                 self._quarantine_request(request, now)
                 quarantined.append(request)
         return is_new or bool(new_requests), quarantined
 
+    def _crashed_again(
+        self, request: str, server: Incarnation, now: float, *, own: bool
+    ) -> None:
+        """Count a crash against a quarantined request, unless the store named it.
+
+        Guards against a trial that is put off by reports of the crashes that a host has
+        read from the store when it started.
+        """
+        held = self.quarantine.get(request)
+        reported = self._crashes_by_request[request] - {server}
+        reported_ids = {server_id for server_id, _ in reported}
+        if server[0] in held.servers and server[0] not in reported_ids:
+            return
+        self.quarantine.crashed_again(request, server[0], now, own=own)
+
     def _remember(self, server: Incarnation, now: float) -> _CrashRecord:
         while len(self._crashes) >= MAX_CRASHES_KEPT:
             self._forget(next(iter(self._crashes)))
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -207,6 +207,17 @@
     assert len(stored) == MAX_SERVERS_KEPT
 
 
+def test_a_host_that_starts_does_not_put_off_the_trial_of_a_stored_request():
+    # Guards against reports of stored crashes that count as new ones.
+    ledger = CrashLedger()
+    ledger.add_stored_quarantine(BAD, ("i-0", "i-1", "i-2"), 0.0)
+    for index in range(QUARANTINE_CRASHES):
+        ledger.record_crash(crash(index, BAD, born=7), 60.0)
+    assert ledger.quarantine.trial_due(BAD, TRIAL_INTERVAL_S)
+    ledger.record_crash(crash(9, BAD, born=7), 60.0)
+    assert not ledger.quarantine.trial_due(BAD, TRIAL_INTERVAL_S)
+
+
 class FaultlessLoad:
     """Requests at servers that are killed, though not by a request.
 
