Wait for the watch before a quarantine is deleted again

The twin of the repeated write, on the host of rank 0: 20 deletions in two seconds of a late watch in the test, which failed before (20 of at most 2). A deletion of the same object at the same revision is repeated after two seconds at the earliest.

--- a/lacewingcross/gateway/quarantine_store.py
+++ b/lacewingcross/gateway/quarantine_store.py
@@ -19,8 +19,8 @@
 # long after it learned of the quarantine, in seconds, and each further rank this much
 # later.
 STEP_IN_DELAY_S = 0.5
-# Time from the end of a write to the next one of the same quarantine, in seconds. The
-# watch shows the first one before, unless the store is slow.
+# Time from the end of a write or deletion to the next one of the same quarantine, in
+# seconds. The watch shows the first one before, unless the store is slow.
 REWRITE_DELAY_S = 2.0
 
 
@@ -41,7 +41,14 @@
         Client of the store.
     """
 
-    __slots__ = ("_ended_since", "_gateway", "_repeated", "_store", "_written")
+    __slots__ = (
+        "_deleted_at",
+        "_ended_since",
+        "_gateway",
+        "_repeated",
+        "_store",
+        "_written",
+    )
 
     def __init__(self, gateway: Gateway, store: ObjectStore) -> None:
         self._gateway = gateway
@@ -50,6 +57,9 @@
         # request and position; and those whose answer it has repeated.
         self._ended_since: dict[tuple[str, StorePosition], float] = {}
         self._repeated: set[tuple[str, StorePosition]] = set()
+        # When this host deleted stored quarantines that its copy of the store still
+        # shows, by request and position.
+        self._deleted_at: dict[tuple[str, StorePosition], float] = {}
         # The servers that this host wrote last and when, by request, until its copy of
         # the store shows them.
         self._written: dict[str, tuple[tuple[str, ...], float]] = {}
@@ -79,12 +89,21 @@
             self._written[request] = (servers, self._gateway.now())
             logs.event("quarantine-stored", request=request, servers=servers)
         if self._gateway.rank == 0:
-            for stored in self._to_delete():
-                await self._store.delete_quarantine(stored)
-                logs.event("quarantine-deleted", request=stored.name)
+            await self._delete_ended()
         else:
             self._repeat_answers()
 
+    async def _delete_ended(self) -> None:
+        ended = self._to_delete()
+        keys = {_key(doc) for doc in ended}
+        self._deleted_at = {k: at for k, at in self._deleted_at.items() if k in keys}
+        for stored in ended:
+            deleted_at = self._deleted_at.get(_key(stored), float("-inf"))
+            if self._gateway.now() - deleted_at >= REWRITE_DELAY_S:
+                await self._store.delete_quarantine(stored)
+                self._deleted_at[_key(stored)] = self._gateway.now()
+                logs.event("quarantine-deleted", request=stored.name)
+
     def _repeat_answers(self) -> None:
         """Tell all hosts again of the answers that end quarantines still stored.
 
--- a/lacewingcross/standins/object_store.py
+++ b/lacewingcross/standins/object_store.py
@@ -120,6 +120,8 @@
         Number of API calls so far.
     creations : Counter of str
         Number of calls that create an object, by kind, refused ones included.
+    deletions : Counter of str
+        Number of calls that delete an object, by kind, refused ones included.
     listings : Counter of str
         Number of pages of listings that were read, by kind.
     """
@@ -131,6 +133,7 @@
     faults: Faults = field(default_factory=Faults)
     calls: int = 0
     creations: Counter[str] = field(default_factory=Counter)
+    deletions: Counter[str] = field(default_factory=Counter)
     listings: Counter[str] = field(default_factory=Counter)
     _objects: dict[str, dict[str, StoredObject]] = field(default_factory=dict)
     _compacted: int = 0
@@ -335,6 +338,7 @@
         kind, name = kind_and_name
         method = exchange.head.method
         self.creations[kind] += method == "POST"
+        self.deletions[kind] += method == "DELETE"
         late_s = self.faults.late_writes_s.get(kind, 0.0)
         if late_s:
             await asyncio.sleep(late_s)
--- a/tests/test_restored_quarantines.py
+++ b/tests/test_restored_quarantines.py
@@ -69,8 +69,9 @@
 
 
 @in_loop
-async def test_a_quarantine_is_not_written_again_while_the_watch_is_late():
-    # Guards against ten calls a second by each host that saw one of the crashes.
+async def test_calls_are_not_repeated_while_the_watch_is_late():
+    # Guards against ten calls a second by each host that saw one of the crashes, and by
+    # the host that deletes the quarantine.
     async with fleet() as made:
         apps = await started(made)
         made.store.faults.late_watches_s[KIND] = 2.0
@@ -79,3 +80,8 @@
         await known_everywhere(apps)
         assert made.store.names(KIND) == ["bad"]
         assert made.store.creations[KIND] <= 2 * len(apps)
+        for ledger in ledgers(apps):
+            ledger.release("bad")
+        await until(lambda: made.store.names(KIND) == [])
+        await asyncio.sleep(2.0)
+        assert made.store.deletions[KIND] <= 2
