--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -20,6 +20,7 @@
 
 from .accounts import FLOODED, INTERMITTENT, KEYS, UNLIMITED
 from .ledger import CRASHING, CRASHING_TARGET, DEADLINE_S, Reply, Sent
+from .popular import POPULAR_CALLERS, POPULAR_PAUSE_S, POPULAR_TARGET
 from .world import HOST_NAME, World
 
 # Seconds after its deadline by which a caller must have a response, since the response
@@ -82,7 +83,13 @@
             for caller_index in range(callers)
         ]
         hosts = range(len(self._world.hosts))
-        running.append(loop.create_task(self._repeat_crashing_request()))
+        bad = PlannedRequest(CRASHING, "calendar", "GET", CRASHING_TARGET)
+        running.append(loop.create_task(self._repeat(bad, CRASHING_PAUSE_S, "bad")))
+        popular = PlannedRequest("read", "calendar", "GET", POPULAR_TARGET)
+        running += [
+            loop.create_task(self._repeat(popular, POPULAR_PAUSE_S, f"popular-{index}"))
+            for index in range(POPULAR_CALLERS)
+        ]
         pause_s = FLOOD_EVERY_S * FLOOD_CALLERS
         for caller_index in range(FLOOD_CALLERS):
             running.append(
@@ -132,15 +139,16 @@
             planned = PlannedRequest("read", "calendar", "GET", target, version=version)
             conn = await self._send_request(conn, host, planned)
 
-    async def _repeat_crashing_request(self) -> None:
-        """Send a request that crashes servers repeatedly, to random hosts.
+    async def _repeat(
+        self, planned: PlannedRequest, pause_s: tuple[float, float], name: str
+    ) -> None:
+        """Send one request repeatedly, to random hosts.
 
         The random source is separate, so that the other callers draw the same values.
         """
-        rng = random.Random(len(self._world.hosts))
-        planned = PlannedRequest(CRASHING, "calendar", "GET", CRASHING_TARGET)
+        rng = random.Random(f"{name}-{len(self._world.hosts)}")
         while True:
-            await asyncio.sleep(rng.uniform(*CRASHING_PAUSE_S))
+            await asyncio.sleep(rng.uniform(*pause_s))
             host = rng.randrange(len(self._world.hosts))
             conn = await self._open(host)
             if conn is not None:
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -7,6 +7,7 @@
 
 from .accounts import UNLIMITED, account_violations, key_violations, quota_violations
 from .findings import Violation
+from .popular import popular_violations
 from .signals import (
     DRAIN_S,
     SignalLedger,
@@ -140,6 +141,8 @@
         The runs of each request at servers.
     crashes : list of tuple
         Time and request id of each crash of a server by a request.
+    server_ends : list of float
+        When servers were stopped, by a request or not.
     arrivals : list of tuple
         Time, service and request id of each request that reached a server.
     left_at : dict of str to float
@@ -167,6 +170,7 @@
     replies: list[Reply] = field(default_factory=list)
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     crashes: list[tuple[float, str]] = field(default_factory=list)
+    server_ends: list[float] = field(default_factory=list)
     arrivals: list[tuple[float, str, str]] = field(default_factory=list)
     left_at: dict[str, float] = field(default_factory=dict)
     evacuated: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
@@ -195,6 +199,7 @@
         found += self._retry_violations()
         found += self._recovery_violations()
         found += self._crash_violations()
+        found += popular_violations(self)
         found += account_violations(self)
         found += key_violations(self)
         found += quota_violations(self)
@@ -398,14 +403,15 @@
         late = [
             at
             for at, request_id in self.crashes
-            if at > since and self._sent_undisturbed(self.sent[request_id])
+            if at > since and self.sent_undisturbed(self.sent[request_id])
         ]
         if len(late) <= MAX_LATE_CRASHES:
             return []
         text = f"{len(late)} late, {len(self.crashes)} servers ended under one request"
         return [Violation("ENDS", late[MAX_LATE_CRASHES], text)]
 
-    def _sent_undisturbed(self, sent: Sent) -> bool:
+    def sent_undisturbed(self, sent: Sent) -> bool:
+        """Return whether host and store were undisturbed when a request was sent."""
         return self._undisturbed(sent.host, sent.at, sent.at)
 
     def _recovery_violations(self) -> list[Violation]:
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -12,6 +12,7 @@
 from lacewingcross.platform import headers as ph
 
 from .ledger import CRASHING_TARGET, Ledger, Run, signature
+from .popular import POPULAR_RUN_S, POPULAR_TARGET
 from .signals import Arrival
 
 SLOTS = 4
@@ -188,6 +189,8 @@
             self.ledger.crashes.append((self.now(), request_id))
             self.on_crash(self)
             await asyncio.sleep(UNRESPONSIVE_S)
+        if run.target == POPULAR_TARGET:
+            await asyncio.sleep(POPULAR_RUN_S)
         self._busy += 1
         try:
             jitter = self.rng.uniform(0.5, 1.5)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -331,6 +331,7 @@
     async def drop_server(self, server: SoakServer) -> None:
         """Stop a server as a crash does, so that its store entry expires."""
         if server in self.servers:
+            self.ledger.server_ends.append(self.now())
             self.servers.remove(server)
             await server.stop()
 
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -18,6 +18,7 @@
     Sent,
     signature,
 )
+from bench.soak.popular import CLEARED_S, POPULAR_TARGET, QUARANTINE_CRASHES
 from bench.soak.schedule import draw_faults
 from bench.soak.signals import Arrival
 
@@ -377,3 +378,37 @@
     observed = ledger_with_back_off(3)
     observed.host_disturbances[0].add(11.0, 11.5, "host-pause")
     assert observed.violations() == []
+
+
+def popular_after_answer(*, sent_at, ends=()):
+    """Return the rules broken by a refusal of the popular request, answered at 10 s."""
+    observed = ledger()
+    observed.server_ends += ends
+    for request_id, at in (("q1", 10.0 - 0.2), ("q2", sent_at)):
+        observed.sent[request_id] = Sent(
+            request_id, "read", "calendar", POPULAR_TARGET, b"", 0, 1, at
+        )
+    add_reply(observed, "q1", at=10.0)
+    refusal = b'{"error": "quarantined"}'
+    add_reply(
+        observed,
+        "q2",
+        status=503,
+        at=sent_at,
+        body=refusal,
+        response_signature="",
+    )
+    return [item.rule for item in observed.violations()]
+
+
+def test_a_popular_request_that_stays_refused_after_an_answer_is_found():
+    late = 10.0 + CLEARED_S + 0.1
+    assert popular_after_answer(sent_at=late) == ["CLEARED"]
+    few = [9.0] * (QUARANTINE_CRASHES - 1)
+    assert popular_after_answer(sent_at=late, ends=few) == ["CLEARED"]
+
+
+def test_a_popular_request_may_be_refused_soon_after_an_answer_or_after_crashes():
+    assert popular_after_answer(sent_at=10.0 + CLEARED_S) == []
+    crashes = [11.0] * QUARANTINE_CRASHES
+    assert popular_after_answer(sent_at=20.0, ends=crashes) == []
