--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -6,8 +6,10 @@
 from dataclasses import dataclass, field
 
 from .accounts import UNLIMITED, account_violations, key_violations, quota_violations
+from .configuration import CONFIG_APPLY_S, configuration_violations
 from .findings import Violation
-from .popular import popular_violations
+from .popular import QUARANTINE_CRASHES, popular_violations
+from .retries import retry_violations
 from .signals import (
     DRAIN_S,
     SignalLedger,
@@ -18,14 +20,7 @@
 
 # Time bounds in seconds that the soak's settings and the deployment guarantee.
 EVACUATION_S = 5.0
-CONFIG_APPLY_S = 2.5
 STABLE_S = 3.0
-# Seconds for which a route of an older version may still be served after a newer one
-# was: two concurrent requests may overtake each other.
-REVERT_SLACK_S = 0.25
-RETRY_RATIO = 0.2
-RETRY_EXTRA = 64
-RETRY_WINDOW_S = 10.0
 # Share of the reads in the last, undisturbed seconds that must succeed. The users
 # require only a quarter of what was served before the faults.
 MIN_RECOVERED_SHARE = 0.8
@@ -37,9 +32,8 @@
 CRASHING = "bad"
 CRASHING_TARGET = "/calendar/ends-servers"
 REPEATABLE = ("read", CRASHING)
-# Servers that may crash while they run one request, and how many more runs of it
-# undisturbed hosts may cause later than `STABLE_S` after that.
-QUARANTINE_CRASHES = 3
+# How many more runs of a request undisturbed hosts may cause later than `STABLE_S` after
+# the crash that quarantines it.
 MAX_LATE_CRASHES = 3
 # Time bounds are judged only while the soak's own event loop is late by at most this
 # many seconds.
@@ -195,8 +189,8 @@
             found += self._reply_violations(reply)
         for runs in self.runs.values():
             found += self._run_violations(runs)
-        found += self._configuration_violations()
-        found += self._retry_violations()
+        found += configuration_violations(self)
+        found += retry_violations(self)
         found += self._recovery_violations()
         found += self._crash_violations()
         found += popular_violations(self)
@@ -274,7 +268,7 @@
         """Return runs at a server too long after it left or was evacuated."""
         found = []
         left_at = self.left_at.get(run.server_id)
-        if left_at is not None and self._exceeds_bound(sent, left_at, DRAIN_S, run.at):
+        if left_at is not None and self.exceeds_bound(sent, left_at, DRAIN_S, run.at):
             text = (
                 f"{run.request_id}: {run.server_id} left {run.at - left_at:.2f} s ago"
             )
@@ -282,14 +276,14 @@
         domain = self.domain_of[run.server_id]
         for begin, end in self.evacuated.get(domain, []):
             during_evacuation = run.at < end
-            if during_evacuation and self._exceeds_bound(
+            if during_evacuation and self.exceeds_bound(
                 sent, begin, EVACUATION_S, run.at
             ):
                 text = f"{run.request_id}: {domain} evacuated at {begin:.2f}"
                 found.append(Violation("EVAC", run.at, text))
         return found
 
-    def _exceeds_bound(
+    def exceeds_bound(
         self, sent: Sent, since: float, bound_s: float, at: float
     ) -> bool:
         """Return whether an undisturbed host exceeded a bound that began at `since`."""
@@ -334,67 +328,6 @@
             (lag for _, lag in self.loop_lags[first_index:end_index]), default=0.0
         )
 
-    def _configuration_violations(self) -> list[Violation]:
-        found = []
-        newest: dict[tuple[int, int], tuple[int, float]] = {}
-        for reply in self.replies:
-            sent = self.sent[reply.request_id]
-            if not sent.version:
-                continue
-            found += self._config_apply_violations(sent, reply)
-            key = (sent.host, sent.incarnation)
-            version, seen_at = newest.get(key, (0, 0.0))
-            disturbed = self.host_disturbances[sent.host].causes_near(seen_at, reply.at)
-            slack = REVERT_SLACK_S * (8 if disturbed else 1)
-            if reply.status != 200:
-                continue
-            if sent.version < version and sent.at > seen_at + slack:
-                text = f"host {sent.host}: version {sent.version} after {version}"
-                found.append(Violation("REVERT", reply.at, text))
-            elif sent.version > version:
-                newest[key] = (sent.version, reply.at)
-        return found
-
-    def _config_apply_violations(self, sent: Sent, reply: Reply) -> list[Violation]:
-        """Return a violation if a version came into force, or went out, too late."""
-        text = f"host {sent.host}, version {sent.version}: {reply.status}"
-        since = self.accepted.get(sent.version)
-        after = self.accepted.get(sent.version + 1)
-        newest = after is None or sent.at < after
-        missing = reply.status == 404 and newest and since is not None
-        if missing and self._exceeds_bound(sent, since, CONFIG_APPLY_S, sent.at):
-            return [Violation("CONFIG", reply.at, f"{text}, accepted at {since:.2f}")]
-        still_served = reply.status == 200 and after is not None
-        if still_served and self._exceeds_bound(sent, after, CONFIG_APPLY_S, sent.at):
-            return [Violation("CONFIG", reply.at, f"{text}, dropped at {after:.2f}")]
-        return []
-
-    def _retry_violations(self) -> list[Violation]:
-        found = []
-        sent_at_by_service: dict[str, list[float]] = defaultdict(list)
-        for sent in self.sent.values():
-            sent_at_by_service[sent.service].append(sent.at)
-        repeats: dict[str, list[float]] = defaultdict(list)
-        seen: set[str] = set()
-        for at, service, request_id in sorted(self.arrivals):
-            if request_id in seen:
-                repeats[service].append(at)
-            seen.add(request_id)
-        for service, times in repeats.items():
-            sent_at_by_service[service].sort()
-            for index, end in enumerate(times):
-                begin = end - RETRY_WINDOW_S
-                count = index + 1 - bisect_left(times, begin)
-                requests = bisect_right(sent_at_by_service[service], end)
-                requests -= bisect_left(
-                    sent_at_by_service[service], begin - RETRY_WINDOW_S / 2
-                )
-                if count > RETRY_RATIO * requests + RETRY_EXTRA:
-                    text = f"{service}: {count} repeats of {requests} requests"
-                    found.append(Violation("BUDGET", end, text))
-                    break
-        return found
-
     def _crash_violations(self) -> list[Violation]:
         """Return a violation if a request that crashes servers kept reaching them."""
         if len(self.crashes) < QUARANTINE_CRASHES:
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -3,15 +3,14 @@
 import pytest
 
 from bench.soak.accounts import BOUND, QUOTA
+from bench.soak.configuration import CONFIG_APPLY_S
 from bench.soak.ledger import (
-    CONFIG_APPLY_S,
     CRASHING,
     CRASHING_TARGET,
     DEADLINE_S,
     DRAIN_S,
     EVACUATION_S,
     MAX_LATE_CRASHES,
-    RETRY_EXTRA,
     Ledger,
     Reply,
     Run,
@@ -19,6 +18,7 @@
     signature,
 )
 from bench.soak.popular import CLEARED_S, POPULAR_TARGET, QUARANTINE_CRASHES
+from bench.soak.retries import RETRY_EXTRA
 from bench.soak.schedule import draw_faults
 from bench.soak.signals import Arrival
 
