--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -32,8 +32,8 @@
 CRASHING = "bad"
 CRASHING_TARGET = "/calendar/ends-servers"
 REPEATABLE = ("read", CRASHING)
-# How many more runs of a request undisturbed hosts may cause later than `STABLE_S` after
-# the crash that quarantines it.
+# How many more runs of a request undisturbed hosts may cause later than `STABLE_S`
+# after the crash that quarantines it.
 MAX_LATE_CRASHES = 3
 # Time bounds are judged only while the soak's own event loop is late by at most this
 # many seconds.
