Test of repeated calls: a late watch answers before hosts give the call up

Traced: the watch was 2.0 s late, and hosts give a call up after 1.05 s if its watch may wait 50 ms only; if such a watch met the change, each watch was given up and no host ever saw the write (`store-lost ... wait_ms=50: timeout`). The delay is now 0.8 of the time after which a call is given up; the bounds stay.

--- a/tests/test_restored_quarantines.py
+++ b/tests/test_restored_quarantines.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from lacewingcross.core.replica import Kind
+from lacewingcross.platform.object_api import CALL_TIMEOUT_S
 
 from .gateway_parts import fleet, until
 from .test_gateway import in_loop
@@ -11,6 +12,8 @@
 KIND = "quarantined-requests"
 # Time after which a host of each rank would have stored a quarantine again, in seconds.
 ALL_STEPPED_IN_S = 3.5
+# Delay of a late watch, in seconds; after `CALL_TIMEOUT_S` a host gives a call up.
+LATE_S = 0.8 * CALL_TIMEOUT_S
 
 
 def ledgers(apps):
@@ -74,7 +77,7 @@
     # the host that deletes the quarantine.
     async with fleet() as made:
         apps = await started(made)
-        made.store.faults.late_watches_s[KIND] = 2.0
+        made.store.faults.late_watches_s[KIND] = LATE_S
         made.store.creations.clear()
         quarantine_everywhere(apps, "bad")
         await known_everywhere(apps)
