Test: a bad request that was answered once is refused after three more crashes

On real hosts with a late watch: six servers in all, then all hosts refuse it and the store has its quarantine.

--- a/tests/test_cleared_quarantines.py
+++ b/tests/test_cleared_quarantines.py
@@ -28,6 +28,8 @@
         super().__init__(env)
         self.go = asyncio.Event()
         self.holder = None
+        # Whether each further copy crashes its server.
+        self.bad = False
 
     async def _behave(self, received, writer):
         server = self._server_of(writer)
@@ -39,7 +41,7 @@
             elif server is self.holder and not self.go.is_set():
                 writer.write(answer(received.request_id, status=503, extra=NOT_RUN))
                 return True
-            elif len(self.ends) < 3:
+            elif self.bad or len(self.ends) < 3:
                 self.crash(server)
                 return False
         writer.write(answer(received.request_id, received.target.encode()))
@@ -66,6 +68,13 @@
     return held
 
 
+async def all_know(apps, servers):
+    """Wait until each host knows of each crash."""
+    for app in apps:
+        counters = app.gateway.metrics.counters
+        await until(lambda c=counters: c["servers.ended"] == len(servers.ends))
+
+
 async def refusals(apps):
     """Return the statuses and bodies of those of 16 requests that are not served."""
     answers = [
@@ -118,3 +127,27 @@
 def test_hosts_that_start_while_it_is_stored_serve_it_too():
     # Guards against a host that reads a quarantine and does not know of the answer.
     in_loop(run_late)(writes_s=LATE_S, watches_s=LATE_S, restarts=2)
+
+
+@in_loop
+async def test_a_bad_request_that_was_answered_once_is_refused_after_three_crashes():
+    # Guards against an answer that clears a request of crashes after it.
+    async with fleet() as env:
+        env.configure(timeout_s=9.0)
+        servers = await PopularRequestServers(env).start(12)
+        try:
+            apps = await four_hosts(env)
+            env.store.faults.late_watches_s[KIND] = LATE_S
+            held = await crash_three(env, servers, apps)
+            servers.bad = True
+            servers.go.set()
+            assert (await held).status == 200
+            await asyncio.sleep(0.1)
+            for number in range(8):
+                await ask(apps[number % 4], POPULAR, f"again-{number}")
+                await all_know(apps, servers)
+            assert len(servers.ends) == 6
+            assert len(await refusals(apps)) == 16
+            await until(lambda: env.store.names(KIND))
+        finally:
+            await servers.close()
