Soak: answer a held copy of the popular request while its quarantine is being stored

At the start of each run one server holds the first copy of the popular request and three others crash under the next ones; the held copy is answered 0.3 s later, and the store is half a second late with writes and watches of quarantines. Callers then wait, since the answer of a running copy would end a quarantine that comes back. The request that crashes servers starts after that, so that it does not crash the holder.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -20,7 +20,13 @@
 
 from .accounts import FLOODED, INTERMITTENT, KEYS, UNLIMITED
 from .ledger import CRASHING, CRASHING_TARGET, DEADLINE_S, Reply, Sent
-from .popular import POPULAR_CALLERS, POPULAR_PAUSE_S, POPULAR_TARGET
+from .popular import (
+    POPULAR,
+    POPULAR_CALLERS,
+    POPULAR_PAUSE_S,
+    POPULAR_QUIET_S,
+    POPULAR_TARGET,
+)
 from .world import HOST_NAME, World
 
 # Seconds after its deadline by which a caller must have a response, since the response
@@ -39,6 +45,9 @@
 INTERMITTENT_EVERY_S = 0.1
 # Number of flooding callers; each keeps one connection.
 FLOOD_CALLERS = 8
+# When the request that crashes servers is first sent, in seconds: until then it could
+# crash the server that holds the popular request.
+CRASHING_STARTS_S = 2.0
 # Pause before the request that crashes servers is sent again, in seconds.
 CRASHING_PAUSE_S = (0.1, 0.4)
 
@@ -84,10 +93,14 @@
         ]
         hosts = range(len(self._world.hosts))
         bad = PlannedRequest(CRASHING, "calendar", "GET", CRASHING_TARGET)
-        running.append(loop.create_task(self._repeat(bad, CRASHING_PAUSE_S, "bad")))
-        popular = PlannedRequest("read", "calendar", "GET", POPULAR_TARGET)
+        running.append(
+            loop.create_task(
+                self._repeat(bad, CRASHING_PAUSE_S, "bad", CRASHING_STARTS_S)
+            )
+        )
+        popular = PlannedRequest(POPULAR, "calendar", "GET", POPULAR_TARGET)
         running += [
-            loop.create_task(self._repeat(popular, POPULAR_PAUSE_S, f"popular-{index}"))
+            loop.create_task(self._repeat_popular(popular, f"popular-{index}"))
             for index in range(POPULAR_CALLERS)
         ]
         pause_s = FLOOD_EVERY_S * FLOOD_CALLERS
@@ -140,13 +153,18 @@
             conn = await self._send_request(conn, host, planned)
 
     async def _repeat(
-        self, planned: PlannedRequest, pause_s: tuple[float, float], name: str
+        self,
+        planned: PlannedRequest,
+        pause_s: tuple[float, float],
+        name: str,
+        starts_s: float = 0.0,
     ) -> None:
-        """Send one request repeatedly, to random hosts.
+        """Send one request repeatedly, to random hosts, after `starts_s` seconds.
 
         The random source is separate, so that the other callers draw the same values.
         """
         rng = random.Random(f"{name}-{len(self._world.hosts)}")
+        await asyncio.sleep(starts_s)
         while True:
             await asyncio.sleep(rng.uniform(*pause_s))
             host = rng.randrange(len(self._world.hosts))
@@ -156,6 +174,19 @@
             if conn is not None:
                 _close(conn)
 
+    async def _repeat_popular(self, popular: PlannedRequest, name: str) -> None:
+        """Send the popular request once, and repeatedly after a while.
+
+        A copy that is running when its quarantine comes back would be answered and end
+        it again.
+        """
+        conn = await self._open(0)
+        if conn is not None:
+            conn = await self._send_request(conn, 0, popular)
+        if conn is not None:
+            _close(conn)
+        await self._repeat(popular, POPULAR_PAUSE_S, name, POPULAR_QUIET_S)
+
     async def _send_continuously(
         self, account: str, caller_index: int, pause_s: float
     ) -> None:
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -8,7 +8,7 @@
 from .accounts import UNLIMITED, account_violations, key_violations, quota_violations
 from .configuration import CONFIG_APPLY_S, configuration_violations
 from .findings import Violation
-from .popular import QUARANTINE_CRASHES, popular_violations
+from .popular import POPULAR, QUARANTINE_CRASHES, popular_violations
 from .retries import retry_violations
 from .signals import (
     DRAIN_S,
@@ -31,7 +31,7 @@
 # Kind and target of a read that crashes each server which begins to run it.
 CRASHING = "bad"
 CRASHING_TARGET = "/calendar/ends-servers"
-REPEATABLE = ("read", CRASHING)
+REPEATABLE = ("read", CRASHING, POPULAR)
 # How many more runs of a request undisturbed hosts may cause later than `STABLE_S`
 # after the crash that quarantines it.
 MAX_LATE_CRASHES = 3
@@ -135,8 +135,8 @@
         The runs of each request at servers.
     crashes : list of tuple
         Time and request id of each crash of a server by a request.
-    server_ends : list of float
-        When servers were stopped, by a request or not.
+    server_ends : list of tuple
+        Time and server id of each server that was stopped, by a request or not.
     arrivals : list of tuple
         Time, service and request id of each request that reached a server.
     left_at : dict of str to float
@@ -164,7 +164,7 @@
     replies: list[Reply] = field(default_factory=list)
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     crashes: list[tuple[float, str]] = field(default_factory=list)
-    server_ends: list[float] = field(default_factory=list)
+    server_ends: list[tuple[float, str]] = field(default_factory=list)
     arrivals: list[tuple[float, str, str]] = field(default_factory=list)
     left_at: dict[str, float] = field(default_factory=dict)
     evacuated: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
@@ -343,6 +343,10 @@
         text = f"{len(late)} late, {len(self.crashes)} servers ended under one request"
         return [Violation("ENDS", late[MAX_LATE_CRASHES], text)]
 
+    def host_undisturbed(self, sent: Sent) -> bool:
+        """Return whether the host was undisturbed when a request was sent to it."""
+        return not self.host_disturbances[sent.host].causes_near(sent.at, sent.at)
+
     def sent_undisturbed(self, sent: Sent) -> bool:
         """Return whether host and store were undisturbed when a request was sent."""
         return self._undisturbed(sent.host, sent.at, sent.at)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -47,9 +47,6 @@
 # are drawn separately too; some of them follow each other closely.
 RESTORE_KIND = "store-restore"
 RESTORES_PER_FAULT = 0.1
-# The store is slow while the first servers crash under a request. This fault is drawn
-# separately too.
-SLOW_STORE_KIND = "store-slow"
 FLEET_KINDS = (
     "store-busy",
     "store-many",
@@ -110,7 +107,6 @@
     faults += _draw_signals(rng, length_s, per_s * SIGNALS_PER_FAULT)
     rng = random.Random(f"restores-{seed}")
     faults += _draw_restores(rng, length_s, per_s * RESTORES_PER_FAULT)
-    faults.append(_draw_slow_start(random.Random(f"slow-start-{seed}")))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -135,11 +131,6 @@
             yield Fault(at, RESTORE_KIND, 0, rng.uniform(0.3, MAX_FAULT_S))
 
 
-def _draw_slow_start(rng: random.Random) -> Fault:
-    """Return a slow store that begins while the first servers crash."""
-    return Fault(rng.uniform(0.0, 0.5), SLOW_STORE_KIND, 0, rng.uniform(1.0, 2.5))
-
-
 def _draw_series(rng: random.Random, length_s: float, per_s: float) -> Iterator[Fault]:
     """Yield single faults, and overlapping series of faults of one kind."""
     max_faults = max(1, round(length_s * per_s))
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -12,7 +12,7 @@
 from lacewingcross.platform import headers as ph
 
 from .ledger import CRASHING_TARGET, Ledger, Run, signature
-from .popular import POPULAR_RUN_S, POPULAR_TARGET
+from .popular import POPULAR_TARGET, PopularRequest
 from .signals import Arrival
 
 SLOTS = 4
@@ -72,6 +72,8 @@
         Random source for its service times and faults.
     now : callable
         Monotonic clock in seconds.
+    popular : PopularRequest
+        What becomes of the popular request, at all servers of the run.
     """
 
     server_id: str
@@ -80,6 +82,7 @@
     ledger: Ledger
     rng: random.Random
     now: Callable[[], float]
+    popular: PopularRequest
     behaviour: ServerBehaviour = field(default_factory=ServerBehaviour)
     # Called when a request crashes this server.
     on_crash: Callable[["SoakServer"], None] = lambda server: None
@@ -189,8 +192,9 @@
             self.ledger.crashes.append((self.now(), request_id))
             self.on_crash(self)
             await asyncio.sleep(UNRESPONSIVE_S)
-        if run.target == POPULAR_TARGET:
-            await asyncio.sleep(POPULAR_RUN_S)
+        if run.target == POPULAR_TARGET and await self.popular.run(self.server_id):
+            self.on_crash(self)
+            await asyncio.sleep(UNRESPONSIVE_S)
         self._busy += 1
         try:
             jitter = self.rng.uniform(0.5, 1.5)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -17,15 +17,19 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from lacewingcross.core.replica import Kind
 from lacewingcross.embedded import free_ports
 from lacewingcross.gateway.settings import GatewaySettings
+from lacewingcross.platform.objects import KIND_PATHS
 from lacewingcross.standins.object_store import Backup, ObjectStoreStandin
 
 from .accounts import stored_accounts
 from .ledger import Ledger
+from .popular import QUARANTINE_DELAY_S, PopularRequest
 from .proxy import FaultyProxy
 from .servers import ServerBehaviour, SoakServer
 
+QUARANTINES = KIND_PATHS[Kind.QUARANTINE]
 HOST_NAME = "a.example"
 REGION_OF = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 DOMAINS = tuple(REGION_OF)
@@ -99,6 +103,7 @@
     _last_heartbeats: dict[str, float] = field(default_factory=dict)
     _evacuated: Counter[str] = field(default_factory=Counter)
     _writers_silent: int = 0
+    _popular: PopularRequest = field(default_factory=PopularRequest)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def now(self) -> float:
@@ -109,6 +114,8 @@
         """Start the store, the servers and the hosts."""
         self.store = ObjectStoreStandin(time.monotonic)
         port = await self.store.start()
+        self.store.faults.late_writes_s[QUARANTINES] = QUARANTINE_DELAY_S
+        self.store.faults.late_watches_s[QUARANTINES] = QUARANTINE_DELAY_S
         self.accept_new_version()
         for index in range(servers):
             service = ("calendar", "booking")[index % 2]
@@ -324,6 +331,7 @@
             self.ledger,
             rng,
             self.now,
+            self._popular,
             ServerBehaviour(),
         )
         server.on_crash = self._crash_server
@@ -334,7 +342,7 @@
     async def drop_server(self, server: SoakServer) -> None:
         """Stop a server as a crash does, so that its store entry expires."""
         if server in self.servers:
-            self.ledger.server_ends.append(self.now())
+            self.ledger.server_ends.append((self.now(), server.server_id))
             self.servers.remove(server)
             await server.stop()
 
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -17,7 +17,12 @@
     Sent,
     signature,
 )
-from bench.soak.popular import CLEARED_S, POPULAR_TARGET, QUARANTINE_CRASHES
+from bench.soak.popular import (
+    CLEARED_S,
+    POPULAR,
+    POPULAR_TARGET,
+    QUARANTINE_CRASHES,
+)
 from bench.soak.retries import RETRY_EXTRA
 from bench.soak.schedule import draw_faults
 from bench.soak.signals import Arrival
@@ -381,31 +386,41 @@
 
 
 def popular_after_answer(*, sent_at, ends=()):
-    """Return the rules broken by a refusal of the popular request, answered at 10 s."""
+    """Return the rules broken by a refusal of the popular request, answered at 10 s.
+
+    It was running at a server at each of the times in `ends`, when that server ended.
+    """
     observed = ledger()
-    observed.server_ends += ends
-    for request_id, at in (("q1", 10.0 - 0.2), ("q2", sent_at)):
-        observed.sent[request_id] = Sent(
-            request_id, "read", "calendar", POPULAR_TARGET, b"", 0, 1, at
-        )
+    for index, at in enumerate(ends):
+        server_id = f"e{index}"
+        observed.server_ends.append((at, server_id))
+        observed.domain_of[server_id] = "a1"
+        observed.service_of[server_id] = "calendar"
+        request_id = f"cut-{index}"
+        add_popular(observed, request_id, at - 0.2)
+        run = Run(request_id, server_id, POPULAR_TARGET, b"", at - 0.1)
+        observed.runs[request_id].append(run)
+    add_popular(observed, "q1", 9.8)
     add_reply(observed, "q1", at=10.0)
-    refusal = b'{"error": "quarantined"}'
-    add_reply(
-        observed,
-        "q2",
-        status=503,
-        at=sent_at,
-        body=refusal,
-        response_signature="",
-    )
+    add_popular(observed, "q2", sent_at)
+    body = b'{"error": "quarantined"}'
+    add_reply(observed, "q2", status=503, at=sent_at, body=body, response_signature="")
     return [item.rule for item in observed.violations()]
 
 
+def add_popular(observed, request_id, at):
+    observed.sent[request_id] = Sent(
+        request_id, POPULAR, "calendar", POPULAR_TARGET, b"", 0, 1, at
+    )
+
+
 def test_a_popular_request_that_stays_refused_after_an_answer_is_found():
     late = 10.0 + CLEARED_S + 0.1
     assert popular_after_answer(sent_at=late) == ["CLEARED"]
-    few = [9.0] * (QUARANTINE_CRASHES - 1)
+    few = [11.0] * (QUARANTINE_CRASHES - 1)
     assert popular_after_answer(sent_at=late, ends=few) == ["CLEARED"]
+    before = [9.0] * QUARANTINE_CRASHES
+    assert popular_after_answer(sent_at=late, ends=before) == ["CLEARED"]
 
 
 def test_a_popular_request_may_be_refused_soon_after_an_answer_or_after_crashes():
