Tests and soak: call what was there in place of writing it again

Found in reading the change once more: a second way to start crashing servers beside crashing_servers, and to start ready hosts beside three_hosts; a second runner of scenarios in test_crash_watch; what a watching host is answered, in two models; opening, sending and closing in two callers of the soak. Each stands once now.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -167,12 +167,15 @@
         await asyncio.sleep(starts_s)
         while True:
             await asyncio.sleep(rng.uniform(*pause_s))
-            host = rng.randrange(len(self._world.hosts))
-            conn = await self._open(host)
-            if conn is not None:
-                conn = await self._send_request(conn, host, planned)
-            if conn is not None:
-                _close(conn)
+            await self._send_alone(rng.randrange(len(self._world.hosts)), planned)
+
+    async def _send_alone(self, host: int, planned: PlannedRequest) -> None:
+        """Send one request on a connection of its own."""
+        conn = await self._open(host)
+        if conn is not None:
+            conn = await self._send_request(conn, host, planned)
+        if conn is not None:
+            _close(conn)
 
     async def _repeat_popular(self, popular: PlannedRequest, name: str) -> None:
         """Send the popular request once, and repeatedly after a while.
@@ -180,11 +183,7 @@
         A copy that is running when its quarantine comes back would be answered and end
         it again.
         """
-        conn = await self._open(0)
-        if conn is not None:
-            conn = await self._send_request(conn, 0, popular)
-        if conn is not None:
-            _close(conn)
+        await self._send_alone(0, popular)
         await self._repeat(popular, POPULAR_PAUSE_S, name, POPULAR_QUIET_S)
 
     async def _send_continuously(
--- a/tests/crashing_servers.py
+++ b/tests/crashing_servers.py
@@ -89,8 +89,8 @@
 
 
 @contextlib.asynccontextmanager
-async def crashing_servers(env, count):
-    servers = await CrashingServers(env).start(count)
+async def crashing_servers(env, count, kind=CrashingServers):
+    servers = await kind(env).start(count)
     try:
         yield servers
     finally:
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -248,6 +248,13 @@
         await until(lambda: not app.gateway.roster.starting)
         return app
 
+    async def ready_hosts(self, *domains):
+        """Start a host in each of these failure domains; wait until all serve."""
+        apps = [await self.add_host(domain=domain) for domain in domains]
+        for app in apps:
+            await self.ready(app)
+        return apps
+
     async def close(self):
         for task in self.tasks:
             task.cancel()
--- a/tests/quarantine_model.py
+++ b/tests/quarantine_model.py
@@ -10,7 +10,6 @@
 from lacewingcross.core.placement import Placement
 from lacewingcross.core.replica import Kind
 from lacewingcross.core.steering import Steering
-from lacewingcross.core.store_position import START
 from lacewingcross.gateway.crashes import CrashWatch
 from lacewingcross.gateway.gossip_sender import gossip_message
 from lacewingcross.gateway.quarantine_store import QuarantineStore
@@ -110,11 +109,7 @@
 
     def ask_store(self, store):
         """Return the answer to the call that a watching host would make."""
-        as_of = self.steering.replica.as_of(KIND)
-        if as_of == START or store.era > as_of.era:
-            return store.listing(KIND)
-        update = store.watch(KIND, as_of)
-        return store.listing(KIND) if update is None else update
+        return store.answer(KIND, self.steering.replica.as_of(KIND))
 
     def take(self, update):
         self.steering.take(update, self.now())
--- a/tests/restored_store_model.py
+++ b/tests/restored_store_model.py
@@ -88,6 +88,13 @@
         as_of = StorePosition(self.era, self.revision)
         return Update(kind, since, as_of, self._documents(kind, since.revision))
 
+    def answer(self, kind, as_of):
+        """Return the answer to a watching host whose copy is complete up to `as_of`."""
+        if as_of == START or self.era > as_of.era:
+            return self.listing(kind)
+        update = self.watch(kind, as_of)
+        return self.listing(kind) if update is None else update
+
 
 class ModelHost:
     """One run of a host: its steering, and what it must not forget in this run."""
@@ -123,11 +130,7 @@
 
     def ask_store(self, store, kind):
         """Return the answer to the call that a watching host would make."""
-        as_of = self.as_of(kind)
-        if as_of == START or store.era > as_of.era:
-            return store.listing(kind)
-        update = store.watch(kind, as_of)
-        return store.listing(kind) if update is None else update
+        return store.answer(kind, self.as_of(kind))
 
     def pull_from(self, peer, now):
         """Ask a peer for what it has and this host lacks."""
--- a/tests/test_cleared_quarantines.py
+++ b/tests/test_cleared_quarantines.py
@@ -1,10 +1,11 @@
 """Requests that a server answers while their quarantine is on its way to the store."""
 
 import asyncio
+import contextlib
 
 import pytest
 
-from .crashing_servers import CrashingServers
+from .crashing_servers import CrashingServers, crashing_servers
 from .gateway_parts import answer, ask, fleet, until
 from .test_gateway import in_loop
 
@@ -48,12 +49,16 @@
         return True
 
 
-async def four_hosts(env):
-    domains = ("a1", "a2", "b1", "b1")
-    apps = [await env.add_host(domain=domain) for domain in domains]
-    for app in apps:
-        await env.ready(app)
-    return apps
+@contextlib.asynccontextmanager
+async def fleet_of_four(count, *, writes_s=0.0, watches_s=0.0):
+    """Yield a fleet, its `count` servers and its hosts; the store is late."""
+    async with fleet() as env:
+        env.configure(timeout_s=9.0)
+        async with crashing_servers(env, count, PopularRequestServers) as servers:
+            apps = await env.ready_hosts("a1", "a2", "b1", "b1")
+            env.store.faults.late_writes_s[KIND] = writes_s
+            env.store.faults.late_watches_s[KIND] = watches_s
+            yield env, servers, apps
 
 
 async def crash_three(env, servers, apps):
@@ -90,28 +95,21 @@
 
     The last `restarts` hosts lose their memory in that moment.
     """
-    async with fleet() as env:
-        env.configure(timeout_s=9.0)
-        servers = await PopularRequestServers(env).start(8)
-        try:
-            apps = await four_hosts(env)
-            env.store.faults.late_writes_s[KIND] = writes_s
-            env.store.faults.late_watches_s[KIND] = watches_s
-            held = await crash_three(env, servers, apps)
-            servers.go.set()
-            assert (await held).status == 200
-            for index in range(len(apps) - restarts, len(apps)):
-                env.tasks[index].cancel()
-                await asyncio.wait((env.tasks[index],))
-                apps[index] = await env.ready(await env.add_host(domain="b1"))
-            await asyncio.sleep(QUIET_S)
-            if restarts:
-                # A host that starts does not know which of the listed servers crashed.
-                await until(lambda: len(env.store.names("servers")) == 8)
-            assert await refusals(apps) == []
-            await until(lambda: env.store.names(KIND) == [])
-        finally:
-            await servers.close()
+    lateness = {"writes_s": writes_s, "watches_s": watches_s}
+    async with fleet_of_four(8, **lateness) as (env, servers, apps):
+        held = await crash_three(env, servers, apps)
+        servers.go.set()
+        assert (await held).status == 200
+        for index in range(len(apps) - restarts, len(apps)):
+            env.tasks[index].cancel()
+            await asyncio.wait((env.tasks[index],))
+            apps[index] = await env.ready(await env.add_host(domain="b1"))
+        await asyncio.sleep(QUIET_S)
+        if restarts:
+            # A host that starts does not know which of the listed servers crashed.
+            await until(lambda: len(env.store.names("servers")) == 8)
+        assert await refusals(apps) == []
+        await until(lambda: env.store.names(KIND) == [])
 
 
 @pytest.mark.parametrize(
@@ -132,22 +130,15 @@
 @in_loop
 async def test_a_bad_request_that_was_answered_once_is_refused_after_three_crashes():
     # Guards against an answer that clears a request of crashes after it.
-    async with fleet() as env:
-        env.configure(timeout_s=9.0)
-        servers = await PopularRequestServers(env).start(12)
-        try:
-            apps = await four_hosts(env)
-            env.store.faults.late_watches_s[KIND] = LATE_S
-            held = await crash_three(env, servers, apps)
-            servers.bad = True
-            servers.go.set()
-            assert (await held).status == 200
-            await asyncio.sleep(0.1)
-            for number in range(8):
-                await ask(apps[number % 4], POPULAR, f"again-{number}")
-                await all_know(apps, servers)
-            assert len(servers.ends) == 6
-            assert len(await refusals(apps)) == 16
-            await until(lambda: env.store.names(KIND))
-        finally:
-            await servers.close()
+    async with fleet_of_four(12, watches_s=LATE_S) as (env, servers, apps):
+        held = await crash_three(env, servers, apps)
+        servers.bad = True
+        servers.go.set()
+        assert (await held).status == 200
+        await asyncio.sleep(0.1)
+        for number in range(8):
+            await ask(apps[number % 4], POPULAR, f"again-{number}")
+            await all_know(apps, servers)
+        assert len(servers.ends) == 6
+        assert len(await refusals(apps)) == 16
+        await until(lambda: env.store.names(KIND))
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -38,16 +38,16 @@
         return True
 
 
-def crash_watch(backends, now=lambda: 100.0):
+def crash_watch(backends, now):
     rng = random.Random(1)
     placement = Placement("a", {"a1": "a"}, rng, 1.5, 5.0)
     steering = Steering(placement, ObjectDecoder(), rng, 0.2, 64.0)
     return CrashWatch(steering, backends, Metrics(), now)
 
 
-def run_scenario(backends, scenario):
+def run_scenario(backends, scenario, now=lambda: 100.0):
     async def run():
-        crashes = crash_watch(backends)
+        crashes = crash_watch(backends, now)
         async with asyncio.timeout(10):
             await scenario(crashes)
 
@@ -160,28 +160,16 @@
 
 def test_an_answer_during_the_check_of_a_server_clears_the_request():
     backends = ScriptedBackends("connect-refused")
+    clock = SimpleNamespace(now=100.0)
 
     async def scenario(crashes):
-        crashes.now = 100.0
-        check = crashes.watch.connection_broke(ENTRY, "popular")
-        crashes.now += 0.03
-        crashes.watch.note_answer(lambda: "popular")
-        crashes.now += 0.03
+        check = crashes.connection_broke(ENTRY, "popular")
+        clock.now += 0.03
+        crashes.note_answer(lambda: "popular")
+        clock.now += 0.03
         backends.go.set()
         await check
-        assert crashes.watch.ledger.has_crashed(SERVER)
-        assert crashes.watch.ledger.crash_count("popular") == 0
+        assert crashes.ledger.has_crashed(SERVER)
+        assert crashes.ledger.crash_count("popular") == 0
 
-    run_timed(backends, scenario)
-
-
-def run_timed(backends, scenario):
-    """Run a scenario whose clock the scenario itself sets, as `now`."""
-
-    async def run():
-        made = SimpleNamespace(now=0.0)
-        made.watch = crash_watch(backends, lambda: made.now)
-        async with asyncio.timeout(10):
-            await scenario(made)
-
-    asyncio.run(run())
+    run_scenario(backends, scenario, lambda: clock.now)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -20,10 +20,7 @@
 
 
 async def three_hosts(env):
-    apps = [await env.add_host(domain=domain) for domain in ("a1", "a2", "b1")]
-    for app in apps:
-        await env.ready(app)
-    return apps
+    return await env.ready_hosts("a1", "a2", "b1")
 
 
 async def repeat(apps, target, duration_s):
