--- a/lacewingcross/gateway/backends.py
+++ b/lacewingcross/gateway/backends.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from ..core.backend_state import Incarnation, ServerEntry
 from ..http1_client import HttpError
@@ -22,6 +22,8 @@
 # Reason why no connection could be opened: this host has as many as it may have.
 CONNECTION_LIMIT = "connection-limit"
 
+Connect = Callable[[str, float], Awaitable[BackendConnection]]
+
 
 class Backends:
     """Counts and pools connections, by the server's incarnation.
@@ -37,9 +39,19 @@
     ----------
     connection_limit : callable
         Returns how many connections this host may have to one server of a service.
+    connect : callable
+        Coroutine function that opens a connection to an address within a timeout in
+        seconds.
     """
 
-    __slots__ = ("_idle", "_now", "_on_open", "_open_counts", "connection_limit")
+    __slots__ = (
+        "_idle",
+        "_now",
+        "_on_open",
+        "_open_counts",
+        "connect",
+        "connection_limit",
+    )
 
     def __init__(self, now: Callable[[], float], on_open: Callable[[], None]) -> None:
         self._now = now
@@ -49,6 +61,7 @@
         self.connection_limit: Callable[[str], int] = lambda service: (
             DEFAULT_CONNECTION_LIMIT
         )
+        self.connect: Connect = BackendConnection.open
 
     async def acquire(
         self, server: ServerEntry, *, repeatable: bool
@@ -107,7 +120,7 @@
         self._open_counts[server.incarnation] += 1
         self._on_open()
         try:
-            return await BackendConnection.open(server.address, CONNECT_TIMEOUT_S)
+            return await self.connect(server.address, CONNECT_TIMEOUT_S)
         except BaseException:
             self._open_counts[server.incarnation] -= 1
             raise
--- /dev/null
+++ b/tests/test_cut_from_servers.py
@@ -0,0 +1,156 @@
+"""Hosts that cannot reach the backend servers, while other hosts can."""
+
+import asyncio
+import contextlib
+import itertools
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from .gateway_parts import answer, ask, fleet, until
+from .server_links import Cut, ServerLinks
+
+DOMAINS = ("a1", "a2", "b1")
+SERVICE_TIME_S = 0.02
+REQUEST_INTERVAL_S = 0.04
+# From this time after a cut began, the first tries at cut hosts are served as often as
+# those at the other hosts.
+STABLE_S = 3.0
+# Share of first tries that may fail.
+MAX_FAILED_SHARE = 1 / 50
+
+
+async def _behave(received, writer):
+    await asyncio.sleep(SERVICE_TIME_S)
+    writer.write(answer(received.request_id, received.target.encode()))
+
+
+@dataclass
+class Callers:
+    """Steady requests at each host, each on a new connection and without a retry."""
+
+    apps: list
+    served: defaultdict = field(default_factory=lambda: defaultdict(list))
+    _ids: itertools.count = field(default_factory=itertools.count)
+    _tasks: set = field(default_factory=set)
+
+    def start(self):
+        for app in self.apps:
+            self._keep(self._send_all(app))
+
+    def _keep(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send_all(self, app):
+        while True:
+            self._keep(self._send_one(app))
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+
+    async def _send_one(self, app):
+        number = next(self._ids)
+        kind = ("safe", "unsafe")[number % 2]
+        sent_at = app.gateway.now()
+        try:
+            response = await ask(
+                app, f"/{kind}/{number}", f"r{number}", key=f"{number % 30}"
+            )
+            served = response.status == 200
+        except Exception:
+            served = False
+        self.served[app].append((sent_at, served))
+
+    async def send_at_once(self, app, count):
+        """Send more requests together than a host has connections to servers."""
+        await asyncio.gather(*(self._send_one(app) for _ in range(count)))
+
+    def failed_share(self, apps, since, until):
+        """Return the share of first tries in a time span that failed."""
+        outcomes = [
+            served
+            for app in apps
+            for sent_at, served in self.served[app]
+            if since <= sent_at < until
+        ]
+        assert len(outcomes) >= 20
+        return outcomes.count(False) / len(outcomes)
+
+    async def close(self):
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def _running_fleet(hosts):
+    async with fleet() as env:
+        env.configure()
+        for index in range(9):
+            await env.add_server(_behave, domain=DOMAINS[index % 3])
+        apps = [await env.add_host(domain=domain) for domain in hosts]
+        links = ServerLinks()
+        for app in apps:
+            links.attach(app)
+        for app in apps:
+            await env.ready(app)
+        await until(
+            lambda: all(len(app.gateway.roster.active) == len(apps) for app in apps)
+        )
+        callers = Callers(apps)
+        callers.start()
+        try:
+            await asyncio.sleep(1.0)
+            yield env, apps, links, callers
+        finally:
+            await callers.close()
+            links.close()
+
+
+async def _cut_off(env, links, apps, how):
+    for app in apps:
+        await links.cut(app, how, [server.address for server in env.servers])
+
+
+def _count_crashes(apps):
+    return sum(
+        app.gateway.crashes.ledger.has_crashed(server.entry.incarnation)
+        for app in apps
+        for server in app.gateway.steering.placement.known.servers.values()
+    )
+
+
+async def _failed_at_cut_hosts(how):
+    """Return the shares of failed first tries at cut hosts and at the others."""
+    async with _running_fleet(("a1", "a1", "a2", "b1")) as (env, apps, links, callers):
+        await _cut_off(env, links, apps[:2], how)
+        since = apps[0].gateway.now() + STABLE_S
+        await asyncio.sleep(STABLE_S + 2.5)
+        return (
+            callers.failed_share(apps[:2], since, since + 2.0),
+            callers.failed_share(apps[2:], since, since + 2.0),
+        )
+
+
+def test_hosts_without_links_to_servers_serve_through_other_hosts():
+    """Guards against refusals at hosts that alone cannot reach the servers."""
+    failed = {how: asyncio.run(_failed_at_cut_hosts(how)) for how in Cut}
+    assert max(max(shares) for shares in failed.values()) <= MAX_FAILED_SHARE, failed
+
+
+async def _failed_at_other_hosts(how):
+    """Return the share of failed tries at the other hosts, and the crashes reported."""
+    async with _running_fleet(("a1", "a1", "a2", "b1")) as (env, apps, links, callers):
+        cut_at = apps[0].gateway.now()
+        await _cut_off(env, links, apps[:1], how)
+        await callers.send_at_once(apps[0], 40)
+        await asyncio.sleep(2.5)
+        failed = callers.failed_share(apps[1:], cut_at, cut_at + 2.0)
+        return failed, _count_crashes(apps)
+
+
+def test_servers_that_one_host_cannot_reach_are_used_by_all_others():
+    """Guards against a cut host that reports crashes of servers that still answer."""
+    refusals = (Cut.REFUSE, Cut.REFUSE_NEW)
+    seen = {how: asyncio.run(_failed_at_other_hosts(how)) for how in refusals}
+    for failed, crashes in seen.values():
+        assert failed <= MAX_FAILED_SHARE and not crashes, seen
