A host that is cut off no longer reports the crashes of servers that answer

What callers saw: one host that servers refuse (its links reset, or new connections refused) took that for the proof that they had crashed and told all hosts. For some 3.5 s the sound hosts refused most requests, with servers that answered all the while.

Cause: a refused connection was believed by the host that saw it, and its report by all others, whatever they knew better. Class: one host's view of a third party is taken for a fact of all.

Change: a host believes its own refusal only if it opens a new connection to another server after it. A host with an open connection to the server checks a report itself first; what it cannot decide it believes as before, so that a true crash still counts against its requests.

Why it holds: who is cut off reaches no other server either, and connections to a process that has ended are closed, so an open one speaks against the report.

--- /dev/null
+++ b/lacewingcross/core/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Whether a backend server is reached, by what hosts find when they check it."""
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -29,6 +29,7 @@
 from .gauges import measure_host
 from .host_directory import HostDirectory
 from .pages import PageListener, answer_lookup, answer_metrics, answer_readiness
+from .paths.checks import PathChecks
 from .peers import Peers
 from .quarantine_store import QuarantineStore
 from .settings import GatewaySettings
@@ -137,10 +138,18 @@
         self._settings_path = settings_path
         self._reload = asyncio.Event()
         self._store = ObjectStore(cfg.platform)
+        self._check_paths()
         self._peers = Peers(self.gateway)
         self._hosts = HostDirectory(self.gateway, self._store)
         self.root = Supervisor("gateway", self._children())
 
+    def _check_paths(self) -> None:
+        gateway = self.gateway
+        checks = PathChecks(gateway)
+        gateway.backends.on_connected = checks.note_connected
+        gateway.crashes.find = checks.look
+        gateway.crashes.has_open = gateway.backends.has_open
+
     def _children(self) -> list[Child]:
         gateway = self.gateway
         cfg = gateway.cfg
--- a/lacewingcross/gateway/backends.py
+++ b/lacewingcross/gateway/backends.py
@@ -39,6 +39,8 @@
     ----------
     connection_limit : callable
         Returns how many connections this host may have to one server of a service.
+    on_connected : callable
+        Called with the entry of each server to which a connection was opened.
     connect : callable
         Coroutine function that opens a connection to an address within a timeout in
         seconds.
@@ -51,6 +53,7 @@
         "_open_counts",
         "connect",
         "connection_limit",
+        "on_connected",
     )
 
     def __init__(self, now: Callable[[], float], on_open: Callable[[], None]) -> None:
@@ -62,6 +65,7 @@
             DEFAULT_CONNECTION_LIMIT
         )
         self.connect: Connect = BackendConnection.open
+        self.on_connected: Callable[[ServerEntry], None] = lambda server: None
 
     async def acquire(
         self, server: ServerEntry, *, repeatable: bool
@@ -120,10 +124,17 @@
         self._open_counts[server.incarnation] += 1
         self._on_open()
         try:
-            return await self.connect(server.address, CONNECT_TIMEOUT_S)
+            conn = await self.connect(server.address, CONNECT_TIMEOUT_S)
         except BaseException:
             self._open_counts[server.incarnation] -= 1
             raise
+        self.on_connected(server)
+        return conn
+
+    def has_open(self, server: Incarnation) -> bool:
+        """Return whether a connection to a run of a server is open."""
+        lost_count = sum(bool(conn.lost) for conn in self._idle.get(server, ()))
+        return self._open_counts.get(server, 0) > lost_count
 
     def _drop_lost(self, server: ServerEntry) -> None:
         """Stop counting idle connections that the server has closed.
--- a/lacewingcross/gateway/crashes.py
+++ b/lacewingcross/gateway/crashes.py
@@ -1,7 +1,7 @@
 """Detects crashes of backend servers and the requests that were running there."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 
 from .. import logs
@@ -10,6 +10,7 @@
 from ..core.cleared_crashes import Clearance
 from ..core.crash_gossip import CrashGossip
 from ..core.crashes import CrashLedger, ServerCrash
+from ..core.paths.findings import Finding
 from ..core.recent_answers import RecentAnswers
 from ..core.steering import Steering
 from ..http1_client import HttpError
@@ -20,11 +21,18 @@
 # A process that crashes closes its connections and its listener one after the other. A
 # connection that it still accepted in between is lost within this time, in seconds.
 CONNECTION_SETTLE_S = 0.02
+# Results of a check that finds a server running: it accepts connections of this host,
+# or only those of another one.
+LISTENS = "listens"
+PATH_LOST = "path-lost"
 # Maximum number of connections that one check of a server opens. A connection that the
 # server accepts and closes again shows nothing, so the check opens another one.
 MAX_CHECKS = 3
 
 
+Find = Callable[[ServerEntry], Awaitable[Finding]]
+
+
 @dataclass(slots=True)
 class BrokenConnections:
     """The requests whose connections to a server broke, and when the last one did.
@@ -36,6 +44,24 @@
     last_at: float = float("-inf")
 
 
+async def probe(backends: Backends, entry: ServerEntry) -> str:
+    """Return why a server accepts no connection, empty if it accepts one.
+
+    A connection that the server accepts and keeps open is pooled.
+    """
+    for _ in range(MAX_CHECKS):
+        try:
+            if await backends.open_spare(entry, CONNECTION_SETTLE_S):
+                return ""
+        except HttpError as exc:
+            return exc.reason
+    return "silent"
+
+
+async def _believe_refusal(_entry: ServerEntry) -> Finding:
+    return Finding.REFUSED
+
+
 class CrashWatch:
     """Checks servers whose connections broke and records crashes in the ledger.
 
@@ -63,6 +89,11 @@
         hosts.
     on_gossip : callable
         Called when `gossip` has a new item.
+    find : callable
+        Coroutine function that returns what other hosts find of a server that refuses
+        this one; by default every refusal is a crash.
+    has_open : callable
+        Returns whether this host has an open connection to a run of a server.
     """
 
     __slots__ = (
@@ -72,8 +103,11 @@
         "_metrics",
         "_now",
         "_recent_answers",
+        "_reports",
         "_steering",
+        "find",
         "gossip",
+        "has_open",
         "on_gossip",
     )
 
@@ -91,9 +125,13 @@
         # The connections to a server that broke, until its check has ended.
         self._broken: dict[Incarnation, BrokenConnections] = {}
         self._recent_answers = RecentAnswers()
+        # Reports of other hosts that wait for a check of this host.
+        self._reports: dict[Incarnation, list[tuple[ServerCrash, str]]] = {}
         self._checks: dict[Incarnation, asyncio.Task[None]] = {}
         self.gossip = CrashGossip(steering.crashes)
         self.on_gossip: Callable[[], None] = lambda: None
+        self.find: Find = _believe_refusal
+        self.has_open: Callable[[Incarnation], bool] = lambda server: False
 
     @property
     def ledger(self) -> CrashLedger:
@@ -126,13 +164,30 @@
         broken.requests.add(request)
         broken.last_at = self._now()
         if server not in self._checks:
-            task = asyncio.get_running_loop().create_task(self._check(entry))
-            self._checks[server] = task
-            task.add_done_callback(lambda _task: self._checks.pop(server, None))
+            self._start(server, self._check(entry))
         return self._checks[server]
 
     def connection_refused(self, entry: ServerEntry) -> None:
-        """Note that the address of a server refuses connections: it has crashed.
+        """Note that the address of a server refuses connections.
+
+        The server has crashed, or only this host is cut off from it.
+        """
+        server = entry.incarnation
+        if self.ledger.has_crashed(server):
+            self._record_refused(entry)
+        elif server not in self._checks:
+            self._start(server, self._check_refused(entry))
+
+    def _start(
+        self, server: Incarnation, check: Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(check)
+        self._checks[server] = task
+        task.add_done_callback(lambda _task: self._checks.pop(server, None))
+        return task
+
+    def _record_refused(self, entry: ServerEntry) -> None:
+        """Record the crash of a server that refuses connections.
 
         Guards against another host that reports the crash before the check of this host
         has ended. The requests that this host had at the server, often including the
@@ -180,19 +235,59 @@
         another host has reported the crash meanwhile. A connection that the server
         accepts and keeps open is pooled: it replaces the connection that broke.
         """
-        reason = "silent"
-        for _ in range(MAX_CHECKS):
-            try:
-                is_open = await self._backends.open_spare(entry, CONNECTION_SETTLE_S)
-            except HttpError as exc:
-                reason = exc.reason
-                break
-            if is_open:
-                reason = "listens"
+        reports = self._reports.setdefault(entry.incarnation, [])
+        while True:
+            count = len(reports)
+            reason = await probe(self._backends, entry) or LISTENS
+            if reason == REFUSED:
+                reason = await self._confirm(entry)
+            if reason not in (LISTENS, PATH_LOST) or len(reports) == count:
                 break
-        if reason == REFUSED or self.ledger.has_crashed(entry.incarnation):
-            self.connection_refused(entry)
-            return
+            # A report that has arrived meanwhile may be of a later crash.
+        self._conclude(entry, reason)
+
+    async def _check_refused(self, entry: ServerEntry) -> None:
+        """Check whether a server that has just refused a connection has crashed."""
+        self._conclude(entry, await self._confirm(entry))
+
+    def _conclude(self, entry: ServerEntry, reason: str) -> None:
+        """Record a crash, or that the server is kept, after a check.
+
+        Reports of other hosts are refuted if the server accepts connections of this
+        host or of the host that this one has asked. Otherwise they are believed.
+        """
+        server = entry.incarnation
+        reports = self._reports.pop(server, [])
+        if reason in (LISTENS, PATH_LOST):
+            for _, source in reports:
+                self._metrics.count("servers.ended-refuted")
+                logs.event(
+                    "crash-report-refuted",
+                    server=entry.server_id,
+                    source=source,
+                    why=reason,
+                )
+        else:
+            for crash, source in reports:
+                self.record(crash, source)
+        if reason == REFUSED or self.ledger.has_crashed(server):
+            self._record_refused(entry)
+        else:
+            self._keep(entry, reason)
+
+    async def _confirm(self, entry: ServerEntry) -> str:
+        """Return `REFUSED` if a server that refuses this host has crashed.
+
+        Otherwise return why it is kept.
+        """
+        if self.ledger.has_crashed(entry.incarnation):
+            return REFUSED
+        finding = await self.find(entry)
+        if finding is Finding.REFUSED:
+            return REFUSED
+        return PATH_LOST if finding is Finding.REACHED else finding.value
+
+    def _keep(self, entry: ServerEntry, reason: str) -> None:
         broken = self._broken.pop(entry.incarnation, BrokenConnections())
         logs.event(
             "server-kept",
@@ -220,7 +315,27 @@
             return
         server = (message.server_id, message.born_ms)
         broke_at = self._now() - message.age_s
-        self.record(ServerCrash(server, frozenset(message.requests), broke_at), source)
+        crash = ServerCrash(server, frozenset(message.requests), broke_at)
+        entry = self._doubted(server)
+        if entry is None:
+            self.record(crash, source)
+            return
+        self._reports.setdefault(server, []).append((crash, source))
+        if server not in self._checks:
+            self._start(server, self._check(entry))
+
+    def _doubted(self, server: Incarnation) -> ServerEntry | None:
+        """Return the server of a report if this host has reason to check it first.
+
+        Guards against a host that takes a partition for a crash. An open connection
+        here speaks against the crash: those to a process that has ended are closed.
+        """
+        if self.ledger.has_crashed(server) or not self.has_open(server):
+            return None
+        known = self._steering.placement.known.servers.get(server[0])
+        if known is None or known.entry.incarnation != server:
+            return None
+        return known.entry
 
     def record(self, crash: ServerCrash, source: str = "") -> None:
         """Record a crash that this host has observed, or the host `source` reports."""
--- /dev/null
+++ b/lacewingcross/gateway/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Checks whether a server that this host cannot reach has crashed."""
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -9,6 +9,7 @@
 from lacewingcross.core import messages as msg
 from lacewingcross.core.backend_state import ServerEntry
 from lacewingcross.core.crashes import QUARANTINE_CRASHES, ServerCrash
+from lacewingcross.core.paths.findings import Finding
 from lacewingcross.core.placement import Placement
 from lacewingcross.core.steering import Steering
 from lacewingcross.gateway.crashes import CrashWatch
@@ -104,6 +105,80 @@
     run_scenario(backends, scenario)
 
 
+def known_crash_watch(backends, *, find=Finding.REFUSED):
+    """Return a crash watch that knows the server and has a connection open to it."""
+    crashes = crash_watch(backends, lambda: 100.0)
+    crashes._steering.placement.known.put(ENTRY, 100.0)
+    crashes.has_open = lambda server: True
+
+    async def find_out(entry):
+        return find
+
+    crashes.find = find_out
+    backends.go.set()
+    return crashes
+
+
+async def checked(crashes):
+    while crashes._checks:
+        await asyncio.wait(set(crashes._checks.values()))
+
+
+@pytest.mark.parametrize(
+    ("reason", "has_crashed"),
+    [("", False), ("connect-refused", True), ("connect-failed", True)],
+)
+def test_a_report_is_checked_while_a_connection_to_the_server_is_open(
+    reason, has_crashed
+):
+    """Guards against hosts that skip servers which only the reporter cannot reach."""
+
+    async def scenario():
+        crashes = known_crash_watch(ScriptedBackends(reason))
+        crashes.receive("host-2", msg.ServerEnded(*SERVER, ["r1"]))
+        crashes.receive("host-3", msg.ServerEnded(*SERVER, ["r2"]))
+        await checked(crashes)
+        assert crashes.ledger.has_crashed(SERVER) == has_crashed
+        assert crashes.ledger.crash_count("r1") == has_crashed
+        assert crashes.ledger.crash_count("r2") == has_crashed
+
+    asyncio.run(scenario())
+
+
+def test_a_report_during_a_check_is_checked_again():
+    """Guards against a crash that comes just after a check has found the server up."""
+
+    class CrashingBackends(ScriptedBackends):
+        async def open_spare(self, entry, settle_s):
+            is_open = await super().open_spare(entry, settle_s)
+            self.reason = "connect-refused"
+            crashes.receive("host-3", msg.ServerEnded(*SERVER, ["r1", "r2"]))
+            return is_open
+
+    async def scenario():
+        crashes.receive("host-2", msg.ServerEnded(*SERVER, ["r1"]))
+        await checked(crashes)
+        assert crashes.ledger.crash_requests(SERVER) == {"r1", "r2"}
+
+    crashes = known_crash_watch(CrashingBackends(""))
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("find", [f for f in Finding if f is not Finding.REFUSED])
+def test_a_refusal_that_the_host_has_reason_to_doubt_is_no_crash(find):
+    """Guards against a cut host that reports its refused connections as crashes."""
+
+    async def scenario():
+        crashes = known_crash_watch(ScriptedBackends("connect-refused"), find=find)
+        crashes.connection_refused(ENTRY)
+        crashes.connection_broke(ENTRY, "r1")
+        await checked(crashes)
+        assert not crashes.ledger.has_crashed(SERVER)
+        assert not list(crashes.gossip.since(0))
+
+    asyncio.run(scenario())
+
+
 class Fleet:
     """Two hosts that a test lets report to each other, at a time that it sets."""
 
