Decide on which path a request reaches its server

Which paths count as lost (a server that another host reaches and this one does not; two of a failure domain; all, while none responds), which host carries a request instead (near ones first, by room, only in regions that may see it), and which servers are tried again. Placement asks for the path of each server; without paths set, all are direct, as before.

--- a/lacewingcross/core/backend_state.py
+++ b/lacewingcross/core/backend_state.py
@@ -4,6 +4,7 @@
 
 from .cold_limit import ColdSends
 from .passive_health import PassiveHealth
+from .paths.path import Path
 from .warm_keys import WarmKeys
 
 # Identifies one run of a server: its id, and when it started (see `born_ms`).
@@ -59,7 +60,9 @@
     reported_load: int = 0
     reported_at: float = float("-inf")
     cold_sends: ColdSends = field(default_factory=ColdSends)
+    # Outcomes of direct attempts, and of attempts through other hosts.
     passive_health: PassiveHealth = field(default_factory=PassiveHealth)
+    indirect_health: PassiveHealth = field(default_factory=PassiveHealth)
     warm: WarmKeys = field(default_factory=WarmKeys)
 
     def request_count(self, now: float) -> int:
@@ -73,6 +76,10 @@
             return counted
         return max(counted, self.reported_load)
 
+    def health_on(self, path: Path) -> PassiveHealth:
+        """Return the outcomes of this host's attempts on a path."""
+        return self.passive_health if path is Path.DIRECT else self.indirect_health
+
     def idle_s(self, now: float) -> float:
         """Return the time since `used_at`, in seconds; 0 with requests in flight."""
         if self.own or self.of_peers:
--- a/lacewingcross/core/eligibility.py
+++ b/lacewingcross/core/eligibility.py
@@ -6,6 +6,8 @@
 from .cold_limit import cold_send_limit
 from .fleet_shares import ASSUMED_HOSTS
 from .passive_health import FailureShare
+from .paths.path import Path
+from .paths.selection import Paths
 from .placement_types import PlacementRequest
 from .routes import Service
 from .send_gate import SendGate
@@ -27,6 +29,8 @@
     ----------
     host_region_share : float
         This host's share of what the hosts of its region may send to a cold server.
+    paths : Paths or None
+        The paths from this host to servers; None if all are direct.
     """
 
     __slots__ = (
@@ -38,6 +42,7 @@
         "_services",
         "gate",
         "host_region_share",
+        "paths",
     )
 
     def __init__(
@@ -50,6 +55,7 @@
         self._failures: dict[str, FailureShare] = {}
         self._services: dict[str, Service] = {}
         self.gate = gate
+        self.paths: Paths | None = None
         # The number of hosts is assumed until the shares are reviewed.
         self.host_region_share = 1.0 / ASSUMED_HOSTS
 
@@ -94,14 +100,16 @@
         now: float,
         *,
         last_resort: bool,
-    ) -> bool:
-        """Return whether a server may be sent a request.
+    ) -> Path | None:
+        """Return the path on which a server may be sent a request, None for none.
 
         See `PassiveHealth.usable` for `last_resort`. A request that only the server's
         own limits stop is counted as skipped.
         """
-        usable = self._usable(server, request, now, last_resort=last_resort)
-        return usable and self.may_send(server, request, now)
+        path = self._usable_path(server, request, now, last_resort=last_resort)
+        if path is None or not self.may_send(server, request, now):
+            return None
+        return path
 
     def may_send(self, server: Server, request: PlacementRequest, now: float) -> bool:
         """Return whether a server itself allows one more request; count a skip if not.
@@ -122,30 +130,57 @@
         """
         soonest_s = float("inf")
         for server in servers:
-            if self._usable(server, request, now, last_resort=True):
+            if self._usable_path(server, request, now, last_resort=True):
                 wait_s = self.gate.wait_s(server.entry.incarnation, now)
                 soonest_s = min(soonest_s, wait_s)
                 if soonest_s <= 0.0:
                     break
         return soonest_s
 
-    def _usable(
+    def _usable_path(
         self,
         server: Server,
         request: PlacementRequest,
         now: float,
         *,
         last_resort: bool,
-    ) -> bool:
-        """Return whether a server may take a request, apart from its own limits."""
+    ) -> Path | None:
+        """Return the path to a server that may take a request, or None.
+
+        The server's own limits are not checked.
+        """
         entry = server.entry
         if request.regions and server.region not in request.regions:
-            return False
+            return None
         if entry.server_id in request.tried or entry.failure_domain in self._evacuated:
-            return False
-        if not server.passive_health.usable(now, last_resort=last_resort):
-            return False
-        return not server.cold(now) or self._has_cold_room(server, now)
+            return None
+        path = self._path_to(server, request, now, last_resort=last_resort)
+        if path is None or (server.cold(now) and not self._has_cold_room(server, now)):
+            return None
+        return path
+
+    def _path_to(
+        self,
+        server: Server,
+        request: PlacementRequest,
+        now: float,
+        *,
+        last_resort: bool,
+    ) -> Path | None:
+        if self.paths is None:
+            usable = server.passive_health.usable(now, last_resort=last_resort)
+            return Path.DIRECT if usable else None
+        return self.paths.path_to(
+            server,
+            request.regions,
+            now,
+            last_resort=last_resort,
+            indirect_only=request.indirect_only,
+        )
+
+    def is_evacuated(self, failure_domain: str) -> bool:
+        """Return whether a failure domain gets no more requests."""
+        return failure_domain in self._evacuated
 
     def _has_cold_room(self, server: Server, now: float) -> bool:
         """Return whether a cold server may get one more request from this host now.
--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -23,10 +23,15 @@
 # Maximum number of servers in a `ServerLimits` or `ServersLeaving`. A sender with more
 # servers sends further messages.
 MAX_SERVERS_PER_MESSAGE = 256
+# Maximum number of failure domains in a `LostDomains`.
+MAX_DOMAINS_PER_MESSAGE = 1024
+# Maximum number of header fields in an `IndirectRequest` or `IndirectHead`.
+MAX_HEADER_FIELDS = 256
 # A running total, a bit mask or a time in milliseconds. Larger values are errors of the
 # sender.
 UnsignedInt = Annotated[int, Meta(ge=0, le=MAX_NUMBER)]
 Fingerprint = Annotated[str, Meta(min_length=1, max_length=32)]
+HeaderFields = Annotated[list[tuple[bytes, bytes]], Meta(max_length=MAX_HEADER_FIELDS)]
 # An entry host: id, region, failure domain, entry address, peer address, cores.
 HostFields = tuple[str, str, str, str, str, BoundedFloat]
 
@@ -418,6 +423,81 @@
     ]
 
 
+class LostDomains(_Message, tag=32):
+    """Failure domains whose servers the sender does not reach itself.
+
+    Replaces its previous message. The sender may still reach them through other hosts.
+    """
+
+    domains: Annotated[list[str], Meta(max_length=MAX_DOMAINS_PER_MESSAGE)]
+
+
+class ServerCheck(_Message, tag=33):
+    """Asks the receiver to check whether a run of a server accepts connections."""
+
+    server_id: str
+    born_ms: UnsignedInt
+
+
+class ServerCheckResult(_Message, tag=34):
+    """Answers a `ServerCheck`; `finding` is a value of `paths.findings.Finding`."""
+
+    finding: str
+
+
+class IndirectRequest(_Message, tag=35):
+    """Asks the receiver to send one request to a run of a server, on a direct path.
+
+    `headers` are those for the server, with the time to the deadline. With
+    `repeatable`, the request may run twice. `body` is the part of the body that is at
+    hand; unless `complete`, the rest follows in `IndirectBody` messages.
+    """
+
+    server_id: str
+    born_ms: UnsignedInt
+    method: str
+    target: str
+    headers: HeaderFields
+    repeatable: bool
+    body: bytes
+    complete: bool
+
+
+class IndirectBody(_Message, tag=36):
+    """A further part of a body, of the request or of the response."""
+
+    data: bytes
+    complete: bool
+
+
+class IndirectHead(_Message, tag=37):
+    """The head of the server's response."""
+
+    status: Annotated[int, Meta(ge=100, le=599)]
+    headers: HeaderFields
+
+
+class IndirectFailure(_Message, tag=38):
+    """Ends an exchange without a complete response.
+
+    Unless `sent`, no byte of the request has reached the server. `server_lost` means
+    that the connection to the server broke.
+    """
+
+    reason: str
+    sent: bool
+    server_lost: bool
+
+
+# The messages of a stream on which a host sends requests through another one.
+IndirectMessage = (
+    ServerCheck
+    | ServerCheckResult
+    | IndirectRequest
+    | IndirectBody
+    | IndirectHead
+    | IndirectFailure
+)
 QuotaMessage = QuotaLease | QuotaCharges | QuotaReceipts
 
 Message = (
@@ -449,5 +529,7 @@
     | RequestAnswered
     | ServerLimits
     | ServersLeaving
+    | LostDomains
+    | IndirectMessage
     | QuotaMessage
 )
--- a/lacewingcross/core/passive_health.py
+++ b/lacewingcross/core/passive_health.py
@@ -88,8 +88,8 @@
         if not full:
             self._add_outcome(True, now)
 
-    def timed_out(self, attempt_id: int, now: float) -> None:
-        """Record an attempt that timed out without a response.
+    def timed_out(self, attempt_id: int, now: float) -> bool:
+        """Record an attempt that timed out; return whether the server is silent.
 
         Guards against a server that loses power with its connections open: each request
         sent there would wait in vain. So a server that was silent for the silence
@@ -98,8 +98,10 @@
         """
         silent_since, silence_timeout_s = self._pending.pop(attempt_id, (now, 0.0))
         self._add_outcome(True, now)
-        if now - silent_since >= silence_timeout_s:
+        is_silent = now - silent_since >= silence_timeout_s
+        if is_silent:
             self._back_off(SILENT, now)
+        return is_silent
 
     def unreachable(self, attempt_id: int, now: float) -> None:
         """Record that no connection could be opened."""
@@ -115,6 +117,24 @@
         """
         self._pause(CONNECT_PAUSE_MAX_S, UNREACHABLE, now)
 
+    def reachable(self, now: float) -> None:
+        """Record that the server accepts connections again after it did not.
+
+        One request goes first, see `usable`.
+        """
+        if self.why in (SILENT, UNREACHABLE) and now < self._paused_until:
+            self._paused_until = now
+        self._connect_pause_s = CONNECT_PAUSE_S
+
+    def oldest_pending_at(self) -> float | None:
+        """Return since when the server is silent for a pending attempt, None for none.
+
+        With several pending attempts, it is the earliest of these times.
+        """
+        if not self._pending:
+            return None
+        return min(since for since, _ in self._pending.values())
+
     def _back_off(self, why: str, now: float) -> None:
         """Skip the server for the connect pause, which doubles each time."""
         self._pause(self._connect_pause_s, why, now)
--- a/lacewingcross/core/placement.py
+++ b/lacewingcross/core/placement.py
@@ -16,6 +16,8 @@
 from .eligibility import Eligibility
 from .homes import Homes
 from .known_servers import KnownServers
+from .paths.path import Path
+from .paths.recovery import ROUND_INTERVAL_S
 from .placement_types import Choice, PlacementRequest, Refusal
 from .policy import Policy
 from .randomness import RandomSource
@@ -55,6 +57,7 @@
 # the first one need not be the home that rendezvous hashing gives the key.
 HOME_NAMES = ("home", "second", "stays")
 NO_USABLE_SERVER = "no-usable-server"
+NO_PATH = "no-path"
 ALL_ASK_TO_WAIT = "servers-ask-to-wait"
 
 
@@ -148,6 +151,11 @@
         if requested_wait_s:
             return Refusal(ALL_ASK_TO_WAIT, requested_wait_s)
         known = self._homes.of_service(request.service)
+        paths = self.eligibility.paths
+        if known and paths and paths.no_path_to(known, request.regions, now):
+            # The host tries to reach the servers again once in this time.
+            wait_s = ROUND_INTERVAL_S * self.jitter(1, 1 + RETRY_DELAY_JITTER)
+            return Refusal(NO_PATH, wait_s)
         reason = NO_USABLE_SERVER if known else "no-server"
         return Refusal(reason, self.retry_delay_s(request.service))
 
@@ -217,20 +225,21 @@
         warm_candidates = WARM_CANDIDATES if self._policy.stay_warm else 0
         object_name = self._object_name(request)
         usable = self._usable(request, now, last_resort=last_resort)
-        allowed = (server for server in usable if server.region not in avoided_regions)
-        for rank, server in enumerate(allowed):
+        allowed = (item for item in usable if item[0].region not in avoided_regions)
+        for rank, (server, path) in enumerate(allowed):
             enough = bool(object_name) and len(found) >= HOMES_PER_KEY
             if enough and rank >= warm_candidates:
                 break
             if enough and not server.warm.holds(object_name):
                 continue
             why = HOME_NAMES[min(rank, len(HOME_NAMES) - 1)]
-            found.append(self._choice(server, why, request, object_name, now))
+            found.append(self._choice(server, path, why, request, object_name, now))
         return found
 
     def _choice(
         self,
         server: Server,
+        path: Path,
         why: str,
         request: PlacementRequest,
         object_name: str,
@@ -238,25 +247,27 @@
     ) -> Choice:
         times = self._times(request)
         estimate = self.expectations.estimate(server, object_name, times, now)
-        return Choice(
-            server, why, request, object_name, estimate, server.request_count(now)
-        )
+        request_count = server.request_count(now)
+        return Choice(server, why, request, object_name, estimate, request_count, path)
 
     def _times(self, request: PlacementRequest) -> KindTimes:
         return self.expectations.kind(request.kind or request.service, request.target_s)
 
     def _usable(
         self, request: PlacementRequest, now: float, *, last_resort: bool
-    ) -> Iterator[Server]:
+    ) -> Iterator[tuple[Server, Path]]:
         """Yield the servers that may take the request, in the order of its key.
 
+        Each one comes with the path on which it is reached.
+
         That is the rendezvous order of the key with the local home moved up, see
         `Homes.order`. Without a key, it is the order in which servers became known.
         """
         may_take = self.eligibility.may_take
         for server in self._in_order(request):
-            if may_take(server, request, now, last_resort=last_resort):
-                yield server
+            path = may_take(server, request, now, last_resort=last_resort)
+            if path is not None:
+                yield server, path
 
     def _in_order(self, request: PlacementRequest) -> list[Server]:
         if request.key:
@@ -335,7 +346,7 @@
         server = choice.server
         server.own += 1
         server.used_at = now
-        server.passive_health.sent(
+        server.health_on(choice.path).sent(
             attempt_id, now, self.silence_timeout_s(choice.placement_request)
         )
         if choice.object_name:
--- a/lacewingcross/core/placement_types.py
+++ b/lacewingcross/core/placement_types.py
@@ -4,6 +4,7 @@
 
 from .backend_state import Server
 from .completion import Estimate
+from .paths.path import Path
 
 
 @dataclass(slots=True, frozen=True)
@@ -14,7 +15,8 @@
     route), and `target_s` is the time within which operators want a response. `regions`
     may serve the request, empty for all. One more `urgent` request may wait at a server
     whose slots are all taken than other requests. `tried` are the ids of servers to
-    which the request was sent before.
+    which the request was sent before. With `indirect_only`, the request goes through
+    another host, since it could not connect to servers from this one.
     """
 
     service: str
@@ -24,6 +26,7 @@
     tried: frozenset[str] = frozenset()
     target_s: float = 0.0
     kind: str = ""
+    indirect_only: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -33,7 +36,7 @@
     `object_name` names the request's object, empty for a request without a key.
     `request_count` is how many requests run or wait at the server by
     `Server.request_count`. `why` is the name of the server's place in the key's order,
-    see `placement.HOME_NAMES`.
+    see `placement.HOME_NAMES`. `path` is how the attempt reaches the server.
     """
 
     server: Server
@@ -42,6 +45,7 @@
     object_name: str
     estimate: Estimate
     request_count: int
+    path: Path = Path.DIRECT
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/core/roster.py
+++ b/lacewingcross/core/roster.py
@@ -249,6 +249,14 @@
         others = (e.info for host_id, e in self.entries.items() if host_id in live)
         return [self.own, *others]
 
+    def hosts_in(self, failure_domain: str) -> set[str]:
+        """Return the ids of the other hosts in a failure domain."""
+        return {
+            host_id
+            for host_id, entry in self.entries.items()
+            if entry.info.failure_domain == failure_domain
+        }
+
     def direct_peers(self, now: float) -> list[HostInfo]:
         """Return the hosts that send messages to this one and are not shutting down."""
         entries = self.entries.values()
--- a/lacewingcross/core/send_gate.py
+++ b/lacewingcross/core/send_gate.py
@@ -49,6 +49,19 @@
         self.rates.sent(server, now)
         self.backoffs.sent(server, now)
 
+    def may_carry(self, server: Incarnation, now: float) -> bool:
+        """Return whether a request of another host may go to a server from this one.
+
+        That host has counted the request against its own share of the rate limit. The
+        server's back-off and its departure apply to the host that sends.
+        """
+        may_send = self.departures.may_send(server)
+        return may_send and self.backoffs.may_send(server, now)
+
+    def carried(self, server: Incarnation, now: float) -> None:
+        """Record a request of another host whose first byte is sent."""
+        self.backoffs.sent(server, now)
+
     def wait_s(self, server: Incarnation, now: float) -> float:
         """Return after how many seconds the server allows a request.
 
