Send requests through other hosts while the own paths to servers are lost

Cause: a host sent requests to servers itself or not at all. Class: no second way.

Change: an attempt goes to its server directly or, while that path is lost, through another host, on a stream at its peer port, with the same states (not sent, unknown, answered). The host in between adds only what binds it as a sender: evacuations, departures, back-offs. It makes no choice, and never sends on to a third host. A path counts as lost only when another host reaches the server; two are asked, of different failure domains. Lost paths are tried again with connections only. Hosts without any path refuse at once and say when they try again.

Why it holds: what a host believes of a path no longer rests on its own links alone, and the callers' requests are what no longer waits for them.

Protocol 9: hosts of this version and earlier ones do not speak to each other. Tests: test_indirect_requests, 14 cases (large bodies both ways, a response that breaks off, the host in between that ends or shuts down, callers that leave, back-offs, regions, bad streams).

--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -29,7 +29,9 @@
 from .gauges import measure_host
 from .host_directory import HostDirectory
 from .pages import PageListener, answer_lookup, answer_metrics, answer_readiness
+from .paths.carrier import Carrier
 from .paths.checks import PathChecks
+from .paths.recovery import PathReview
 from .peers import Peers
 from .quarantine_store import QuarantineStore
 from .settings import GatewaySettings
@@ -74,11 +76,12 @@
     Its supervisor runs the children below. `peers` listens for other hosts and keeps
     the links to them. `tell` sends heartbeats with the requests in flight, and the
     crashes and signals of servers. `seek` greets the seeds while no other host is
-    known. `quotas` sends quota messages::
+    known. `quotas` sends quota messages. `paths` checks whether this host reaches the
+    servers::
 
         gateway
         |-- readiness, directory, entry, metrics    listeners
-        |-- peers, tell, seek, quotas               messages with other hosts
+        |-- peers, tell, seek, quotas, paths        messages with other hosts
         |-- config, evacuations, servers,           the store
         |   quarantines, quarantine-store
         |-- hosts                                   list of entry hosts
@@ -138,17 +141,22 @@
         self._settings_path = settings_path
         self._reload = asyncio.Event()
         self._store = ObjectStore(cfg.platform)
-        self._check_paths()
-        self._peers = Peers(self.gateway)
+        checks = self._path_checks()
+        self._path_review = PathReview(self.gateway, checks)
+        self.carrier = Carrier(self.gateway, checks.look)
+        self._peers = Peers(self.gateway, self.carrier)
         self._hosts = HostDirectory(self.gateway, self._store)
         self.root = Supervisor("gateway", self._children())
 
-    def _check_paths(self) -> None:
+    def _path_checks(self) -> PathChecks:
         gateway = self.gateway
         checks = PathChecks(gateway)
         gateway.backends.on_connected = checks.note_connected
-        gateway.crashes.find = checks.look
+        gateway.crashes.find = checks.find
         gateway.crashes.has_open = gateway.backends.has_open
+        gateway.on_path_failure = checks.note_failure
+        gateway.on_path_silence = checks.note_silence
+        return checks
 
     def _children(self) -> list[Child]:
         gateway = self.gateway
@@ -161,6 +169,7 @@
             Child("tell", self._peers.send_updates),
             Child("seek", self._peers.greet_seeds),
             Child("quotas", self._run_quotas),
+            Child("paths", self._path_review.run),
             Child("config", follower.watch_loop(Kind.CONFIG)),
             Child("evacuations", follower.watch_loop(Kind.EVACUATION)),
             Child("servers", follower.watch_loop(Kind.SERVER)),
@@ -345,7 +354,7 @@
         """
         quiet_since = self.gateway.now()
         while (now := self.gateway.now()) < deadline_at:
-            if self.entry.running_requests:
+            if self.entry.running_requests or self.carrier.running:
                 quiet_since = now
             elif (
                 not self.entry.server.connections
--- a/lacewingcross/gateway/attempt.py
+++ b/lacewingcross/gateway/attempt.py
@@ -6,12 +6,11 @@
 
 from .. import headers as hd
 from ..core.attempts import Attempt, Ending
-from ..core.backend_state import Server
+from ..core.placement_types import Choice
 from ..http1_client import ResponseHead
 from ..http1_exchange import Exchange
 from ..platform import headers as ph
-from .backend_connection import BackendConnection
-from .backends import Backends
+from .paths.connector import Connection, Connector
 
 # A response up to this size is read completely before any of it goes to the caller, so
 # that the request can be tried again if the response breaks off. A larger response is
@@ -72,10 +71,10 @@
 
     Parameters
     ----------
-    backends : Backends
+    connector : Connector
         Connections to backend servers.
-    server : Server
-        The server to send the request to.
+    choice : Choice
+        The server to send the request to, and the path to it.
     attempt : Attempt
         State of the attempt; it records that the first byte is written.
     body : CallerBody
@@ -86,31 +85,33 @@
     """
 
     __slots__ = (
-        "_backends",
         "_body",
         "_conn",
+        "_connector",
         "_lost",
         "_repeatable",
         "attempt",
+        "choice",
         "server",
     )
 
     def __init__(
         self,
-        backends: Backends,
-        server: Server,
+        connector: Connector,
+        choice: Choice,
         attempt: Attempt,
         body: CallerBody,
         *,
         repeatable: bool,
     ) -> None:
-        self._backends = backends
+        self._connector = connector
         self._body = body
-        self._conn: BackendConnection | None = None
+        self._conn: Connection | None = None
         self._lost = False
         self._repeatable = repeatable
         self.attempt = attempt
-        self.server = server
+        self.choice = choice
+        self.server = choice.server
 
     async def connect(self) -> None:
         """Acquire a connection.
@@ -120,8 +121,11 @@
         HttpError
             With ``sent=False`` when there is no idle connection and none can be opened.
         """
-        self._conn = await self._backends.acquire(
-            self.server.entry, repeatable=self._repeatable
+        self._conn = await self._connector.acquire(
+            self.server.entry,
+            self.choice.path,
+            self.choice.placement_request.regions,
+            repeatable=self._repeatable,
         )
 
     def send(self, request: h11.Request) -> None:
@@ -164,9 +168,18 @@
         """Return whether the connection to the server was lost during the attempt."""
         return self._lost or (self._conn is not None and bool(self._conn.lost))
 
+    @property
+    def through(self) -> str:
+        """Return the host that carries the request, empty on a direct connection."""
+        return self._connector.host_of(self._conn)
+
+    def failed(self, reason: str) -> None:
+        """Record why the exchange failed, if another host carries it."""
+        self._connector.failed(self._conn, reason)
+
     def release_unused(self) -> None:
         """Pool the connection again; nothing was sent on it."""
-        self._backends.release_unused(self.server.entry, self._conn)
+        self._connector.release_unused(self.server.entry, self._conn)
         self._conn = None
 
     def release_connection(self, *, complete: bool) -> None:
@@ -177,9 +190,9 @@
             return
         self._lost = bool(conn.lost)
         if complete:
-            self._backends.release(self.server.entry, conn)
+            self._connector.release(self.server.entry, conn)
         else:
-            self._backends.discard(self.server.entry, conn)
+            self._connector.discard(self.server.entry, conn)
 
 
 def classify(answer: Answer) -> Ending:
--- a/lacewingcross/gateway/attempt_feedback.py
+++ b/lacewingcross/gateway/attempt_feedback.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass
 
 from ..core.attempts import Ending
-from ..core.backend_state import Server
+from ..core.paths.path import Path
 from ..core.placement_types import Choice
 from .attempt import Answer, reported_load, was_full
 from .backend_connection import REFUSED, UNREACHABLE
 from .context import Gateway
+from .paths.reasons import HOST_REASONS
 
 # Failure reasons that show that the server cannot be reached.
 CONNECT_FAILURES = (REFUSED, UNREACHABLE)
@@ -61,7 +62,7 @@
         return
     if result.ending in (Ending.SERVER_NOT_RUN, Ending.CONNECT_FAILED):
         gateway.steering.placement.not_run(choice)
-    _record_failure(gateway, server, result, now)
+    _record_failure(gateway, choice, result, now)
 
 
 def _record_answer(
@@ -70,7 +71,7 @@
     placement = gateway.steering.placement
     server = choice.server
     good = result.ending is Ending.ANSWERED
-    server.passive_health.answered(result.attempt_id, now, good=good)
+    server.health_on(choice.path).answered(result.attempt_id, now, good=good)
     placement.eligibility.learn_outcome(server.entry.service, failed=not good)
     if good:
         latency_s = now - result.began_at
@@ -79,9 +80,10 @@
 
 
 def _record_failure(
-    gateway: Gateway, server: Server, result: AttemptResult, now: float
+    gateway: Gateway, choice: Choice, result: AttemptResult, now: float
 ) -> None:
-    health = server.passive_health
+    server = choice.server
+    health = server.health_on(choice.path)
     placement = gateway.steering.placement
     ending = result.ending
     if ending is Ending.SERVER_NOT_RUN:
@@ -93,12 +95,29 @@
         placement.eligibility.learn_outcome(server.entry.service, failed=not full)
     elif ending is Ending.CONNECT_FAILED and result.failure_reason in CONNECT_FAILURES:
         health.unreachable(result.attempt_id, now)
-        if result.failure_reason == REFUSED:
-            gateway.crashes.connection_refused(server.entry)
+        _check_path(gateway, choice, result)
     elif ending is Ending.CONNECT_FAILED or result.caller_gone:
         health.abandoned(result.attempt_id)
     elif ending in (Ending.TIMED_OUT, Ending.CANCELLED):
-        health.timed_out(result.attempt_id, now)
+        if health.timed_out(result.attempt_id, now) and choice.path is Path.DIRECT:
+            gateway.on_path_silence(server.entry, now)
+    elif result.failure_reason in HOST_REASONS:
+        # The host in between has failed, not the server.
+        health.abandoned(result.attempt_id)
     else:
         health.failed(result.attempt_id, now)
         placement.eligibility.learn_outcome(server.entry.service, failed=True)
+
+
+def _check_path(gateway: Gateway, choice: Choice, result: AttemptResult) -> None:
+    """Check why a direct connection failed.
+
+    A connection of another host that failed is checked by that host.
+    """
+    if choice.path is not Path.DIRECT:
+        return
+    entry = choice.server.entry
+    if result.failure_reason == REFUSED:
+        gateway.crashes.connection_refused(entry)
+    else:
+        gateway.on_path_failure(entry, result.began_at)
--- a/lacewingcross/gateway/attempt_log.py
+++ b/lacewingcross/gateway/attempt_log.py
@@ -2,6 +2,7 @@
 
 from .. import logs
 from ..core.attempts import Attempt, Ending, Verdict
+from ..core.paths.path import Path
 from ..core.placement_types import Choice
 from ..core.terms import Terms
 from .attempt import Answer
@@ -58,6 +59,7 @@
             server=server.entry.server_id,
             domain=server.entry.failure_domain,
             why=choice.why,
+            path=choice.path.value,
             warm=choice.estimate.warm,
             wait_ms=int(1000 * choice.estimate.wait_s),
             work_ms=int(1000 * choice.estimate.service_time_s),
@@ -84,6 +86,37 @@
             left_ms=int(1000 * time_left_s),
         )
 
+    def sent_through(self, attempt: Attempt, host_id: str) -> None:
+        """Log the host through which an attempt goes."""
+        logs.event(
+            "request-sent-through",
+            id=self._frame.request_id,
+            server=attempt.server_id,
+            attempt=attempt.number,
+            host_id=host_id,
+        )
+
+    def path_changed(self, attempt: Attempt, path: Path, reason: str) -> None:
+        """Log that an attempt could not connect and another path is tried.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            The attempt; nothing was sent to its server.
+        path : Path
+            The path on which it could not connect.
+        reason : str
+            Stable code of why.
+        """
+        logs.event(
+            "path-changed",
+            id=self._frame.request_id,
+            server=attempt.server_id,
+            attempt=attempt.number,
+            path=path.value,
+            why=reason,
+        )
+
     def ended(
         self,
         attempt: Attempt,
--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -5,6 +5,7 @@
 
 from .. import logs
 from ..core.attempts import Attempt, Ending, Stage, Verdict, decide
+from ..core.paths.path import Path
 from ..core.placement_types import Choice, PlacementRequest, Refusal
 from ..http1_client import HttpError, ResponseHead
 from .attempt import (
@@ -29,6 +30,8 @@
 # Another attempt is made only if more than this time is left to the deadline, in
 # seconds.
 MIN_TIME_LEFT_S = 0.03
+# Maximum number of attempts of one request that could not connect, on all paths.
+MAX_CONNECT_FAILURES = 4
 QUARANTINED = "quarantined"
 
 
@@ -57,9 +60,12 @@
     """
 
     __slots__ = (
+        "_connect_failures",
         "_failure_reason",
         "_gateway",
+        "_indirect_only",
         "_log",
+        "_path_changed",
         "_repeated_request",
         "_reply",
         "_req",
@@ -90,6 +96,12 @@
         # Whether the chosen server no longer allowed the latest attempt just before its
         # first byte, so that nothing of the request was sent there.
         self._superseded = False
+        # Number of attempts that could not connect to a server.
+        self._connect_failures = 0
+        # Whether the request goes through other hosts only.
+        self._indirect_only = False
+        # Whether the latest attempt could not connect and another path is tried.
+        self._path_changed = False
         self.attempts = 0
         self.may_have_run = False
         self.caller_gone = False
@@ -131,11 +143,11 @@
                 if self._shed_with_room:
                     return HostAnswer(503, self._failure_reason, self._retry_after_s())
                 return HostAnswer(503, choice.reason, choice.retry_after_s)
-            if self.attempts and not self._superseded:
+            if self.attempts and not (self._superseded or self._path_changed):
                 budget.spend()
                 self._gateway.metrics.count(f"retries.{self._failure_reason}")
             verdict = await self._run_attempt(choice)
-            if self._superseded:
+            if self._superseded or self._path_changed:
                 continue
             if verdict in (Verdict.DONE, Verdict.ABORT) or self.caller_gone:
                 return None
@@ -177,6 +189,7 @@
             frozenset(self._tried),
             route.target_s,
             route.name,
+            self._indirect_only,
         )
 
     def _choose(self) -> Choice | Refusal:
@@ -194,8 +207,8 @@
         attempt_id = self._gateway.next_attempt_id()
         attempt = Attempt(self.attempts, server.entry.server_id)
         run = AttemptRun(
-            self._gateway.backends,
-            server,
+            self._gateway.connector,
+            choice,
             attempt,
             self._req.body,
             repeatable=self._req.route.repeatable,
@@ -204,6 +217,7 @@
         placement.began(choice, attempt_id, self._gateway.now())
         began_at = self._gateway.now()
         self._superseded = False
+        self._path_changed = False
         ran_before = self.may_have_run
         ending = Ending.CANCELLED
         complete = False
@@ -214,6 +228,7 @@
             complete = answer.complete
         except HttpError as exc:
             self._failure_reason = exc.reason
+            run.failed(exc.reason)
             ending = Ending.BROKEN if exc.sent else Ending.CONNECT_FAILED
             if not exc.sent:
                 attempt.stage = Stage.NOT_SENT
@@ -243,21 +258,53 @@
             if answer is None or complete or ending is Ending.SERVER_NOT_RUN:
                 run.release_connection(complete=complete)
         if self._superseded:
+            self._log.superseded(attempt, self._time_left_s())
+            self._gateway.metrics.count("attempts.overtaken")
+            return self._undo_attempt(attempt)
+        if ending is Ending.CONNECT_FAILED and self._changes_path(choice):
+            self._log.path_changed(attempt, choice.path, self._failure_reason)
             return self._undo_attempt(attempt)
         return await self._conclude(run, attempt, ending, answer)
 
     def _undo_attempt(self, attempt: Attempt) -> Verdict:
-        """Undo a superseded attempt; nothing was sent, so it counts as not made."""
+        """Undo an attempt; nothing was sent to a server, so it counts as not made."""
         self.attempts -= 1
         self._reply.attempts = self.attempts
         self._tried.discard(attempt.server_id)
         self._repeated_request.record_not_run()
-        self._gateway.metrics.count("attempts.overtaken")
-        self._log.superseded(attempt, self._time_left_s())
         return Verdict.RETRY
 
+    def _changes_path(self, choice: Choice) -> bool:
+        """Return whether a request that could not connect is sent on another path.
+
+        Guards against a host that is cut off and has not found out yet: a request could
+        not connect to any server that it tries directly. So after a second failure, or
+        when no other attempt is left, it goes through another host.
+        """
+        self._connect_failures += 1
+        if (
+            self._connect_failures > MAX_CONNECT_FAILURES
+            or self._time_left_s() < MIN_TIME_LEFT_S
+        ):
+            return False
+        paths = self._gateway.paths
+        if choice.path is Path.DIRECT:
+            is_lost = paths.reachability.is_lost(choice.server.entry)
+            attempts_left = self.attempts < self._req.route.max_attempts
+            if not is_lost and attempts_left and self._connect_failures == 1:
+                return False
+            self._indirect_only = True
+        domain = choice.server.entry.failure_domain
+        regions = choice.placement_request.regions
+        now = self._gateway.now()
+        self._path_changed = paths.has_intermediary(domain, regions, now)
+        return self._path_changed
+
     async def _exchange_with(self, run: AttemptRun, choice: Choice) -> Answer:
         await run.connect()
+        if run.through:
+            self._gateway.metrics.count("paths.sent-through")
+            self._log.sent_through(run.attempt, run.through)
         sent_at = self._gateway.now()
         if not self._gateway.steering.placement.sent(choice, sent_at):
             run.release_unused()
--- a/lacewingcross/gateway/backends.py
+++ b/lacewingcross/gateway/backends.py
@@ -136,6 +136,35 @@
         lost_count = sum(bool(conn.lost) for conn in self._idle.get(server, ()))
         return self._open_counts.get(server, 0) > lost_count
 
+    def take_used_since(
+        self, server: ServerEntry, since: float, *, repeatable: bool
+    ) -> BackendConnection | None:
+        """Return an idle connection with a response after a time, None for none.
+
+        Parameters
+        ----------
+        server : ServerEntry
+            The server.
+        since : float
+            Monotonic time in seconds.
+        repeatable : bool
+            Whether the request may run twice.
+        """
+        max_idle_s = REPEATABLE_IDLE_S if repeatable else UNREPEATABLE_IDLE_S
+        idle = self._idle.get(server.incarnation, [])
+        for conn in idle:
+            if conn.used_at > since and conn.fresh(self._now(), max_idle_s):
+                idle.remove(conn)
+                return conn
+        return None
+
+    def drop_idle_before(self, server: ServerEntry, since: float) -> None:
+        """Close the idle connections that have not been used after a time."""
+        idle = self._idle.get(server.incarnation, [])
+        for conn in [conn for conn in idle if conn.used_at <= since]:
+            idle.remove(conn)
+            self.discard(server, conn)
+
     def _drop_lost(self, server: ServerEntry) -> None:
         """Stop counting idle connections that the server has closed.
 
--- a/lacewingcross/gateway/callers.py
+++ b/lacewingcross/gateway/callers.py
@@ -55,6 +55,7 @@
             while True:
                 await asyncio.sleep(SWEEP_S)
                 self._gateway.backends.sweep()
+                self._gateway.streams.sweep()
                 self._apply_limits()
         finally:
             await self.server.close()
--- a/lacewingcross/gateway/context.py
+++ b/lacewingcross/gateway/context.py
@@ -3,19 +3,26 @@
 import asyncio
 import contextlib
 import itertools
+from collections.abc import Callable
 
 from .. import headers as hd
 from .. import logs
 from ..clock import Clock
+from ..core import messages as msg
+from ..core.backend_state import ServerEntry
 from ..core.fleet_shares import rank
+from ..core.paths.selection import Paths
 from ..core.quotas import ClockReading, Quotas
 from ..core.replica import Document, Update
 from ..core.roster import Roster
 from ..core.steering import Steering
 from ..core.watch_election import WatchElection
 from ..metrics import Metrics
+from ..wire import PROTOCOL
 from .backends import Backends
 from .crashes import CrashWatch
+from .paths.connector import Connector
+from .paths.streams import IndirectStreams
 from .quota_admission import QuotaAdmission
 from .settings import GatewaySettings
 
@@ -26,6 +33,14 @@
 MAX_UNLISTED_S = 1.0
 
 
+# Receives the entry of a server and a monotonic time in seconds.
+NotePath = Callable[[ServerEntry, float], None]
+
+
+def _ignore_path(_entry: ServerEntry, _since: float) -> None:
+    pass
+
+
 class Gateway:
     """Decisions, connections, clock and metrics of one entry host.
 
@@ -41,6 +56,12 @@
         The entry hosts that this host knows.
     incarnation : int
         Random number that identifies this run of the process.
+
+    Attributes
+    ----------
+    on_path_failure, on_path_silence : callable
+        Called with a server's entry, and with the time from which this host could not
+        connect to it, or has had no response for longer than usual.
     """
 
     __slots__ = (
@@ -50,14 +71,19 @@
         "_started_at",
         "backends",
         "cfg",
+        "connector",
         "crashes",
         "incarnation",
         "metrics",
+        "on_path_failure",
+        "on_path_silence",
+        "paths",
         "quota_admission",
         "quotas",
         "rank",
         "roster",
         "steering",
+        "streams",
         "watch_election",
     )
 
@@ -83,6 +109,14 @@
         self.crashes = CrashWatch(
             steering, self.backends, self.metrics, clock.monotonic
         )
+        self.paths = Paths(roster)
+        steering.placement.eligibility.paths = self.paths
+        self.streams = IndirectStreams(clock.monotonic, self.hello)
+        self.connector = Connector(
+            self.backends, self.streams, self.paths, clock.monotonic
+        )
+        self.on_path_failure: NotePath = _ignore_path
+        self.on_path_silence: NotePath = _ignore_path
         self.quotas = Quotas(
             roster, cfg.bounds.quota_bound, steering.rng, first_start=cfg.first_start
         )
@@ -105,6 +139,20 @@
         """Return the monotonic time and the time that also runs during a suspend."""
         return ClockReading(self._clock.monotonic(), self._clock.boottime())
 
+    def hello(self) -> msg.Hello:
+        """Return the first message on each stream to another host."""
+        own = self.roster.own
+        return msg.Hello(
+            own.host_id,
+            self.incarnation,
+            PROTOCOL,
+            own.region,
+            own.failure_domain,
+            own.entry,
+            own.peer,
+            own.cores,
+        )
+
     def take(self, update: Update, *, fresh: bool = True) -> list[Document]:
         """Apply an update from the store or another host; return the changed documents.
 
--- a/lacewingcross/gateway/gauges.py
+++ b/lacewingcross/gateway/gauges.py
@@ -11,7 +11,9 @@
     age of this host's copy of the store, in seconds. ``store.as_of_era.`` and
     ``store.as_of.`` are the era and the revision up to which the copy of a kind of
     objects is complete. ``servers.withheld`` is the number of servers that had left
-    before the store was restored, and that its copy shows as ready.
+    before the store was restored, and that its copy shows as ready. ``paths.`` counts
+    the failure domains and single servers that this host does not reach itself, and its
+    requests that are in flight through other hosts.
     """
     placement = gateway.steering.placement
     metrics = gateway.metrics
@@ -28,6 +30,10 @@
         as_of = gateway.steering.replica.as_of(kind)
         metrics.set_gauge(f"store.as_of.{kind.name.lower()}", as_of.revision)
         metrics.set_gauge(f"store.as_of_era.{kind.name.lower()}", as_of.era)
+    reachability = gateway.paths.reachability
+    metrics.set_gauge("paths.lost-domains", len(reachability.lost_domains))
+    metrics.set_gauge("paths.lost-servers", len(reachability.lost_paths))
+    metrics.set_gauge("paths.in-flight", gateway.paths.intermediaries.in_flight)
     _measure_signals(gateway, now)
 
 
--- a/lacewingcross/gateway/gossip_receiver.py
+++ b/lacewingcross/gateway/gossip_receiver.py
@@ -16,6 +16,7 @@
 from ..sockets import set_silence_timeout
 from ..wire import read_message
 from .context import Gateway
+from .paths.carrier import Carrier
 from .signals import record_peer_signals
 from .store_follower import log_changes
 from .store_messages import changes_message, update_in
@@ -38,6 +39,8 @@
     ----------
     gateway : Gateway
         Shared state of this host.
+    carrier : Carrier
+        Serves the streams on which other hosts send requests.
     send_to : callable
         Sends a message to a host.
     forward : callable
@@ -46,6 +49,7 @@
 
     __slots__ = (
         "_accepted",
+        "_carrier",
         "_catch_up",
         "_forward",
         "_gateway",
@@ -53,8 +57,11 @@
         "_version_catch_up",
     )
 
-    def __init__(self, gateway: Gateway, send_to: SendTo, forward: Forward) -> None:
+    def __init__(
+        self, gateway: Gateway, carrier: Carrier, send_to: SendTo, forward: Forward
+    ) -> None:
         self._accepted: set[asyncio.StreamWriter] = set()
+        self._carrier = carrier
         self._catch_up = CatchUp()
         self._version_catch_up = CatchUp()
         self._gateway = gateway
@@ -73,7 +80,7 @@
         self._accepted.add(writer)
         set_silence_timeout(writer.transport)
         try:
-            await self._receive(reader)
+            await self._receive(reader, writer)
         except FrameError as exc:
             self._gateway.metrics.count(f"bad-input.{exc.code}")
             logs.event("peer-refused", "WARNING", code=exc.code, why=exc.message)
@@ -87,13 +94,18 @@
             self._accepted.discard(writer)
             writer.transport.abort()
 
-    async def _receive(self, reader: asyncio.StreamReader) -> None:
+    async def _receive(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         async with asyncio.timeout(SILENCE_TIMEOUT_S):
             hello = await read_message(reader)
         info = host_of(hello)
         while True:
             async with asyncio.timeout(SILENCE_TIMEOUT_S):
                 message = await read_message(reader)
+            if isinstance(message, msg.IndirectMessage):
+                await self._carrier.serve(info, message, reader, writer)
+                return
             self._handle(info, hello.incarnation, message)
 
     def _handle(self, info: HostInfo, incarnation: int, message: msg.Message) -> None:
@@ -113,6 +125,8 @@
             self._handle_known_hosts(info, message, now)
         elif isinstance(message, msg.ServerEnded | msg.RequestAnswered):
             self._gateway.crashes.receive(info.host_id, message)
+        elif isinstance(message, msg.LostDomains):
+            self._handle_lost_domains(info, message)
         elif isinstance(message, msg.ServerLimits | msg.ServersLeaving):
             record_peer_signals(self._gateway, info.host_id, message)
         elif isinstance(message, msg.QuotaMessage):
@@ -120,6 +134,11 @@
             if answer is not None:
                 self._send_to(info, answer)
 
+    def _handle_lost_domains(self, info: HostInfo, message: msg.LostDomains) -> None:
+        intermediaries = self._gateway.paths.intermediaries
+        intermediaries.set_lost_domains(info.host_id, message.domains)
+        logs.event("peer-paths", host_id=info.host_id, lost=sorted(message.domains))
+
     def _handle_alive(
         self, info: HostInfo, incarnation: int, message: msg.Alive, now: float
     ) -> None:
--- a/lacewingcross/gateway/gossip_sender.py
+++ b/lacewingcross/gateway/gossip_sender.py
@@ -16,7 +16,7 @@
 from ..core.replica import Kind
 from ..core.roster import ALIVE_INTERVAL_S
 from ..core.send_gate import SendGate
-from ..wire import PROTOCOL, encode
+from ..wire import encode
 from .context import Gateway
 from .link import Link
 
@@ -60,17 +60,7 @@
             id is not known.
         """
         gateway = self._gateway
-        own = gateway.roster.own
-        hello = msg.Hello(
-            own.host_id,
-            gateway.incarnation,
-            PROTOCOL,
-            own.region,
-            own.failure_domain,
-            own.entry,
-            own.peer,
-            own.cores,
-        )
+        hello = gateway.hello()
         if link is None:
             return [hello, self._alive_message(subscribes=True)]
         subscribes = link.info.host_id in subscriptions(gateway.roster, gateway.now())
@@ -229,6 +219,23 @@
                     link.send_frame(*frames[item.sequence])
                 link.last_gossip = gossip.newest
 
+    def send_lost_domains(self) -> None:
+        """Send the failure domains that this host does not reach, if they changed.
+
+        Guards against hosts that are cut off together and send their requests through
+        each other.
+        """
+        reachability = self._gateway.paths.reachability
+        version = reachability.version
+        frame = b""
+        for link in self._links.values():
+            if (link.last_paths_version or 0) == version:
+                continue
+            link.last_paths_version = version
+            domains = sorted(reachability.lost_domains)[: msg.MAX_DOMAINS_PER_MESSAGE]
+            frame = frame or encode(msg.LostDomains(domains))
+            link.send_frame(frame, msg.LostDomains)
+
     def send_signals(self) -> None:
         """Send the limits and departures that servers have announced to this host.
 
--- a/lacewingcross/gateway/link.py
+++ b/lacewingcross/gateway/link.py
@@ -60,6 +60,8 @@
         Whether the host was active when crash gossip was last sent.
     last_signals_version : int or None
         Version of the signals of servers that were sent; None on a new stream.
+    last_paths_version : int or None
+        Version of the lost failure domains that were sent; None on a new stream.
     last_needed_at : float
         When there was last a reason to send to the host.
     """
@@ -75,6 +77,7 @@
         "gossip_as_active",
         "last_alive_at",
         "last_known_hosts",
+        "last_paths_version",
         "last_signals_version",
         "last_gossip",
         "last_full_counts_at",
@@ -92,6 +95,7 @@
         self.last_known_hosts: msg.KnownHosts | None = None
         self.gossip_as_active = False
         self.last_gossip: int | None = None
+        self.last_paths_version: int | None = None
         self.last_signals_version: int | None = None
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -160,6 +164,7 @@
         self.last_counts = None
         self.last_known_hosts = None
         self.last_gossip = None
+        self.last_paths_version = None
         self.last_signals_version = None
         try:
             for message in self._greeting(self):
--- a/lacewingcross/gateway/peers.py
+++ b/lacewingcross/gateway/peers.py
@@ -24,6 +24,7 @@
 from .gossip_receiver import SILENCE_TIMEOUT_S, GossipReceiver
 from .gossip_sender import GossipSender
 from .link import CONNECT_TIMEOUT_S, REDIAL_DELAY_S, Link
+from .paths.carrier import Carrier
 from .store_messages import changes_message
 
 # How often the links are reviewed when no message has changed the known hosts, in
@@ -53,14 +54,18 @@
     ----------
     gateway : Gateway
         Shared state of this host.
+    carrier : Carrier
+        Serves the streams on which other hosts send requests.
     """
 
     __slots__ = ("_gossip_receiver", "_gossip_sender", "_links", "gateway")
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: Gateway, carrier: Carrier) -> None:
         self.gateway = gateway
         self._links: dict[str, Link] = {}
-        self._gossip_receiver = GossipReceiver(gateway, self.send_to, self._forward)
+        self._gossip_receiver = GossipReceiver(
+            gateway, carrier, self.send_to, self._forward
+        )
         self._gossip_sender = GossipSender(gateway, self._links)
 
     def publish(self, update: Update) -> None:
@@ -128,6 +133,7 @@
         crashes.
         """
         self._gossip_sender.send_gossip()
+        self._gossip_sender.send_lost_domains()
         self._gossip_sender.send_signals()
 
     async def run(self) -> None:
--- a/lacewingcross/wire.py
+++ b/lacewingcross/wire.py
@@ -16,7 +16,7 @@
 
 # Increment it whenever the layout of a message changes. A host refuses a stream whose
 # protocol number differs from its own.
-PROTOCOL = 8
+PROTOCOL = 9
 # Limits in bytes: on the body of a received frame as it is sent, and on a decompressed
 # body.
 MAX_FRAME = 4 * 1024 * 1024
@@ -32,10 +32,14 @@
 _decoder = msgspec.msgpack.Decoder(msg.Message)
 
 
-def encode(message: msg.Message) -> bytes:
-    """Return `message` as a frame, including its length prefix."""
+def encode(message: msg.Message, *, compress: bool = True) -> bytes:
+    """Return `message` as a frame, including its length prefix.
+
+    With `compress` switched off, a large message is not compressed either: the bodies
+    of requests and responses rarely shrink.
+    """
     body = _encoder.encode(message)
-    if len(body) < MIN_COMPRESSED_BYTES:
+    if not compress or len(body) < MIN_COMPRESSED_BYTES:
         return _LENGTH.pack(len(body)) + body
     packed = zlib.compress(body, COMPRESS_LEVEL)
     return _LENGTH.pack(len(packed) | COMPRESSED) + packed
