Try the lost servers of a domain in turn also when there are many domains

test_a_round_tries_each_lost_domain_and_all_servers_get_their_turn failed: of 200 servers in 20 lost domains 80 were tried in 60 rounds, since the turns of domains and of their servers ran in step. One running number now gives both.

--- a/lacewingcross/core/paths/recovery.py
+++ b/lacewingcross/core/paths/recovery.py
@@ -1,7 +1,6 @@
 """Which servers a host tries to reach again while paths are lost."""
 
-from collections.abc import Iterable, Iterator
-from itertools import islice
+from collections.abc import Iterable
 
 from ..backend_state import Server
 from .reachability import Reachability
@@ -18,9 +17,8 @@
 ) -> list[Server]:
     """Return the servers that a round tries to connect to.
 
-    One server of each lost failure domain comes first, a different one in each round.
-    The others are single servers whose path is lost. If there are more than
-    `MAX_PER_ROUND`, the rounds take turns.
+    Of a lost failure domain one server is tried at a time, each time a different one.
+    If there are more than `MAX_PER_ROUND` domains and single servers, they take turns.
 
     Parameters
     ----------
@@ -31,26 +29,30 @@
     round_number : int
         Number of the round.
     """
+    groups = _groups(reachability, servers)
+    per_round = min(MAX_PER_ROUND, len(groups))
+    first = round_number * per_round
+    chosen = []
+    for position in range(first, first + per_round):
+        turn, index = divmod(position, len(groups))
+        group = groups[index]
+        chosen.append(group[turn % len(group)])
+    return chosen
+
+
+def _groups(
+    reachability: Reachability, servers: Iterable[Server]
+) -> list[list[Server]]:
+    """Return the lost servers in groups of which one is tried at a time.
+
+    The servers of a lost failure domain are one group. Any other server whose path is
+    lost is a group of its own.
+    """
     by_domain: dict[str, list[Server]] = {}
+    single = []
     for server in servers:
-        if reachability.is_lost(server.entry):
+        if server.entry.failure_domain in reachability.lost_domains:
             by_domain.setdefault(server.entry.failure_domain, []).append(server)
-    candidates = list(_candidates(reachability, by_domain, round_number))
-    first = round_number * MAX_PER_ROUND % max(1, len(candidates))
-    in_turn = candidates[first:] + candidates[:first]
-    return list(islice(in_turn, MAX_PER_ROUND))
-
-
-def _candidates(
-    reachability: Reachability, by_domain: dict[str, list[Server]], round_number: int
-) -> Iterator[Server]:
-    lost_domains = sorted(by_domain.keys() & reachability.lost_domains)
-    # Number of the domain's own turn: with many domains, one turn takes several rounds.
-    rounds_per_turn = max(1.0, len(lost_domains) / MAX_PER_ROUND)
-    turn = int(round_number / rounds_per_turn)
-    for domain in lost_domains:
-        lost = by_domain[domain]
-        yield lost[turn % len(lost)]
-    for domain in sorted(by_domain):
-        if domain not in reachability.lost_domains:
-            yield from by_domain[domain]
+        elif reachability.is_lost(server.entry):
+            single.append([server])
+    return [*by_domain.values(), *single]
