A partial cut is not taken for a total one between two responses

What callers saw: requests took a hop although their servers answered directly.

Cause: two lost servers in different failure domains counted as a cut from all when no response had arrived since the first of them failed; at 8 responses a second that is an ordinary gap.

--- a/lacewingcross/core/paths/reachability.py
+++ b/lacewingcross/core/paths/reachability.py
@@ -133,11 +133,12 @@
         since: float,
         confirmed_by: str,
         known_domains: set[str],
+        now: float,
     ) -> list[str]:
         """Record that another host reaches a server and this one does not.
 
-        If servers of several failure domains are lost while no server responds, this
-        host is cut off from all of `known_domains`.
+        If servers of several failure domains are lost and responses are missing for
+        longer than usual, this host is cut off from all of `known_domains`.
 
         Returns
         -------
@@ -145,15 +146,17 @@
             The failure domains that count as lost from now on.
         """
         self._lost.setdefault(entry.incarnation, LostPath(entry, since, confirmed_by))
-        if self._is_cut_off():
+        if self._is_cut_off(now):
             return self._add_domains(known_domains, since)
         domain = entry.failure_domain
         in_domain = [p for p in self._lost.values() if p.entry.failure_domain == domain]
         enough = len(in_domain) >= LOST_SERVERS_PER_DOMAIN
         return self._add_domains({domain} if enough else set(), since)
 
-    def _is_cut_off(self) -> bool:
+    def _is_cut_off(self, now: float) -> bool:
         """Return whether no server has responded since several domains were lost."""
+        if not self.may_be_quiet(now):
+            return False
         since_last_response = {
             path.entry.failure_domain
             for path in self._lost.values()
--- a/lacewingcross/gateway/paths/checks.py
+++ b/lacewingcross/gateway/paths/checks.py
@@ -191,7 +191,9 @@
         servers = gateway.steering.placement.known.servers.values()
         domains = {server.entry.failure_domain for server in servers}
         reachability = gateway.paths.reachability
-        new_domains = reachability.confirm_lost(entry, since, host_id, domains)
+        new_domains = reachability.confirm_lost(
+            entry, since, host_id, domains, gateway.now()
+        )
         gateway.metrics.count("paths.lost")
         logs.event(
             "path-lost",
