One lost keep-alive probe no longer closes a connection

What callers saw: on a link that loses packets, a request that waits for its answer for more than three seconds can be broken off (502) though server and link are up.

Cause: TCP_USER_TIMEOUT (2.5 s) also decides when keep-alive gives up, whatever the count of probes: with probes after 2 s and 3 s the first lost one was the last.

Evidence: test_one_lost_probe_does_not_close_a_connection failed (2.5 s is not between the probes at 3 and 4 s). Now 3.5 s: both probes that may be lost are sent. A peer that is gone is detected after 4 s without traffic and after 3.5 s with unacknowledged data; requests that may be repeated do not wait for either.

--- a/lacewingcross/sockets.py
+++ b/lacewingcross/sockets.py
@@ -4,10 +4,10 @@
 import socket
 
 # TCP_USER_TIMEOUT in milliseconds: the kernel closes a connection whose sent data stays
-# unacknowledged for this long. The time allows for two retransmissions of a lost
-# packet, and a connection with unacknowledged data detects a network partition within
-# this time.
-USER_TIMEOUT_MS = 2500
+# unacknowledged for this long. It also decides when keep-alive gives up, instead of
+# `MAX_UNANSWERED_PROBES`: after the first unanswered probe past this time. So it ends
+# between the last two probes that may stay unanswered.
+USER_TIMEOUT_MS = 3500
 # TCP keep-alive on a connection without traffic: seconds until the first probe, seconds
 # between probes, and the unanswered probes after which the connection is closed.
 PROBE_AFTER_S = 2
