Another server is tried at once if the host in between may not send to the first

What callers saw: a request that took four hops more than it needed; it was served.

Cause: an attempt that could not go out is undone, so the same server was chosen again, up to four times, although the other host had said that it may not send there.

Evidence: by reading. The new test passes on the code before as well: the route's second attempt then went to the other server. It keeps that the request is served.

--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -19,7 +19,7 @@
 from .attempt_log import AttemptLog
 from .context import Gateway
 from .forwarding import request_for_server
-from .paths.reasons import SILENT_SERVER
+from .paths.reasons import HOST_REASONS, SILENT_SERVER
 from .repeats import RepeatedRequest
 from .reply import HostAnswer, Reply
 from .routed_request import RoutedRequest
@@ -265,7 +265,12 @@
             return self._undo_attempt(attempt)
         if ending is Ending.CONNECT_FAILED and self._changes_path(choice):
             self._log.path_changed(attempt, choice.path, self._failure_reason)
-            return self._undo_attempt(attempt)
+            verdict = self._undo_attempt(attempt)
+            about_host = self._failure_reason in HOST_REASONS
+            if choice.path is Path.INDIRECT and not about_host:
+                # Another host has no way to this server either.
+                self._tried.add(attempt.server_id)
+            return verdict
         return await self._conclude(run, attempt, ending, answer)
 
     def _undo_attempt(self, attempt: Attempt) -> Verdict:
--- a/lacewingcross/gateway/paths/reasons.py
+++ b/lacewingcross/gateway/paths/reasons.py
@@ -20,8 +20,6 @@
 SILENT_SERVER = "silent-server"
 
 # Reasons that say nothing about the server.
-HOST_REASONS = frozenset(
-    (HOST_UNREACHABLE, BAD_STREAM, NO_ROOM, LEAVING, NO_PATH, UNKNOWN_SERVER)
-)
+HOST_REASONS = frozenset((HOST_UNREACHABLE, BAD_STREAM, NO_ROOM, LEAVING, NO_PATH))
 # Reasons after which the other host is not used for a while.
 SKIP_HOST_REASONS = frozenset((HOST_UNREACHABLE, BAD_STREAM, LEAVING, NO_PATH))
--- a/tests/test_indirect_requests.py
+++ b/tests/test_indirect_requests.py
@@ -205,6 +205,29 @@
     run(scenario)
 
 
+def test_another_server_is_used_if_the_host_in_between_may_not_send_to_the_first():
+    """Guards against a refusal while another server could serve the request."""
+
+    async def refuse(received, writer):
+        extra = b"X-Lacewingcross-Not-Executed: 1\r\nRetry-After: 5\r\n"
+        writer.write(answer(received.request_id, status=503, extra=extra))
+
+    async def scenario():
+        async with cut_host() as (env, apps, links):
+            await env.add_server(refuse, domain="a1")
+            known = apps[0].gateway.steering.placement.known.servers
+            await until(lambda: "i-2" in known)
+            await lose_paths(env, links, apps[0])
+            backoffs = apps[1].gateway.steering.placement.gate.backoffs
+            backoffs.observe(known["i-2"].entry.incarnation, 5.0, apps[1].gateway.now())
+            for number in range(12):
+                response = await ask(apps[0], f"/unsafe/{number}", key=str(number))
+                assert response.status == 200
+            assert not env.servers[1].requests
+
+    run(scenario)
+
+
 def test_requests_are_refused_at_once_while_no_host_reaches_the_servers():
     """Guards against callers that wait for the timeout of a connection."""
 
