Hosts that are all cut off refuse at once and say when they try again

What callers saw: while no host reached the servers, each request waited for the timeout of a connection (0.6 s) before it was refused.

Cause: a path counts as lost only when another host reaches the server, and none did.

Change: servers of two failure domains that neither this host nor the hosts that it asked reach, while responses are missing for longer than usual, mean that this host is cut off. Requests are refused (no-path) with the time of the next tries; those open connections only, and the first that succeeds ends it.

Why it holds: if the belief is wrong, all servers are down, and a refusal at once is right as well.

--- a/lacewingcross/core/paths/reachability.py
+++ b/lacewingcross/core/paths/reachability.py
@@ -52,6 +52,7 @@
         "_lost",
         "_lost_domains",
         "_mean_gap_s",
+        "_unreached",
         "version",
     )
 
@@ -62,6 +63,9 @@
         self._heard_at: dict[Incarnation, float] = {}
         self._last_response_at = float("-inf")
         self._mean_gap_s = MAX_QUIET_S / QUIET_RESPONSES
+        # Failure domain of each server that no host has reached, and since when, as far
+        # as no server has responded since.
+        self._unreached: dict[Incarnation, tuple[str, float]] = {}
         self.version = 0
 
     @property
@@ -99,6 +103,7 @@
         gap_s = min(MAX_QUIET_S, now - self._last_response_at)
         self._mean_gap_s += GAP_WEIGHT * (gap_s - self._mean_gap_s)
         self._last_response_at = now
+        self._unreached.clear()
 
     def heard_since(self, entry: ServerEntry, since: float) -> bool:
         """Return whether a server has responded directly after a time."""
@@ -146,23 +151,45 @@
             The failure domains that count as lost from now on.
         """
         self._lost.setdefault(entry.incarnation, LostPath(entry, since, confirmed_by))
-        if self._is_cut_off(now):
+        if self._is_cut_off(known_domains, now):
             return self._add_domains(known_domains, since)
         domain = entry.failure_domain
         in_domain = [p for p in self._lost.values() if p.entry.failure_domain == domain]
         enough = len(in_domain) >= LOST_SERVERS_PER_DOMAIN
         return self._add_domains({domain} if enough else set(), since)
 
-    def _is_cut_off(self, now: float) -> bool:
-        """Return whether no server has responded since several domains were lost."""
+    def note_unreached(
+        self, entry: ServerEntry, since: float, known_domains: set[str], now: float
+    ) -> list[str]:
+        """Record that neither this host nor another one reaches a server.
+
+        The server may be gone. But if responses are missing as well, all hosts may be
+        cut off, and this one counts as cut off until it can connect to a server:
+        requests would only wait for the timeouts of connections.
+
+        Returns
+        -------
+        domains : list of str
+            The failure domains that count as lost from now on.
+        """
+        self._unreached[entry.incarnation] = (entry.failure_domain, since)
+        if not self._is_cut_off(known_domains, now):
+            return []
+        return self._add_domains(known_domains, since)
+
+    def _is_cut_off(self, known_domains: set[str], now: float) -> bool:
+        """Return whether several domains do not respond, and no other one does."""
         if not self.may_be_quiet(now):
             return False
-        since_last_response = {
-            path.entry.failure_domain
-            for path in self._lost.values()
-            if path.since >= self._last_response_at
-        }
-        return len(since_last_response) > 1
+        failed = dict(self._unreached)
+        for server, path in self._lost.items():
+            failed[server] = (path.entry.failure_domain, path.since)
+        domains = [
+            domain
+            for domain, since in failed.values()
+            if since >= self._last_response_at
+        ]
+        return len(domains) > 1 and len(set(domains)) >= min(2, len(known_domains))
 
     def _add_domains(self, domains: set[str], since: float) -> list[str]:
         new = sorted(domains - self._lost_domains.keys())
@@ -182,6 +209,7 @@
         restored : bool
             Whether a path counted as lost.
         """
+        self._unreached.clear()
         domain = entry.failure_domain
         was_lost = self._lost.pop(entry.incarnation, None) is not None
         if self._lost_domains.pop(domain, None) is not None:
--- a/lacewingcross/gateway/paths/checks.py
+++ b/lacewingcross/gateway/paths/checks.py
@@ -126,6 +126,8 @@
         finding, host_id = await self._ask_hosts(entry)
         if finding is Finding.REACHED and host_id:
             self._confirm_lost(entry, since, host_id)
+        elif finding in (Finding.SILENT, Finding.UNSURE):
+            self._note_unreached(entry, since)
         return finding
 
     async def _ask_hosts(self, entry: ServerEntry) -> tuple[Finding, str]:
@@ -186,13 +188,30 @@
                 gateway.streams.release(info, conn)
         return finding, info.host_id
 
+    def _known_domains(self) -> set[str]:
+        servers = self._gateway.steering.placement.known.servers.values()
+        return {server.entry.failure_domain for server in servers}
+
+    def _note_unreached(self, entry: ServerEntry, since: float) -> None:
+        gateway = self._gateway
+        now = gateway.now()
+        new_domains = gateway.paths.reachability.note_unreached(
+            entry, since, self._known_domains(), now
+        )
+        if new_domains:
+            gateway.metrics.count("paths.cut-off")
+            logs.event(
+                "paths-cut-off",
+                "WARNING",
+                server=entry.server_id,
+                age_ms=int(1000 * (now - since)),
+                new_domains=new_domains,
+            )
+
     def _confirm_lost(self, entry: ServerEntry, since: float, host_id: str) -> None:
         gateway = self._gateway
-        servers = gateway.steering.placement.known.servers.values()
-        domains = {server.entry.failure_domain for server in servers}
-        reachability = gateway.paths.reachability
-        new_domains = reachability.confirm_lost(
-            entry, since, host_id, domains, gateway.now()
+        new_domains = gateway.paths.reachability.confirm_lost(
+            entry, since, host_id, self._known_domains(), gateway.now()
         )
         gateway.metrics.count("paths.lost")
         logs.event(
--- a/tests/test_cut_from_servers.py
+++ b/tests/test_cut_from_servers.py
@@ -30,6 +30,7 @@
 
     apps: list
     served: defaultdict = field(default_factory=lambda: defaultdict(list))
+    waits_s: list = field(default_factory=list)
     _ids: itertools.count = field(default_factory=itertools.count)
     _tasks: set = field(default_factory=set)
 
@@ -59,6 +60,7 @@
         except Exception:
             served = False
         self.served[app].append((sent_at, served))
+        self.waits_s.append(app.gateway.now() - sent_at)
 
     async def send_at_once(self, app, count):
         """Send more requests together than a host has connections to servers."""
@@ -180,6 +182,27 @@
     asyncio.run(scenario())
 
 
+def test_requests_are_refused_at_once_while_all_hosts_are_cut_off():
+    """Guards against callers that wait for connections that cannot be opened."""
+
+    async def scenario():
+        async with _running_fleet(("a1", "a2", "b1")) as (env, apps, links, callers):
+            await _cut_off(env, links, apps, Cut.HANG)
+            await asyncio.sleep(STABLE_S)
+            callers.waits_s.clear()
+            await asyncio.sleep(1.5)
+            assert len(callers.waits_s) > 30
+            assert sorted(callers.waits_s)[-3] < 0.25
+            for app in apps:
+                await links.heal(app)
+            healed_at = apps[0].gateway.now()
+            await asyncio.sleep(STABLE_S + 1.5)
+            failed = callers.failed_share(apps, healed_at + STABLE_S, healed_at + 4.2)
+            assert failed <= MAX_FAILED_SHARE
+
+    asyncio.run(scenario())
+
+
 def test_paths_are_used_directly_again_soon_after_a_cut():
     """Guards against a host that goes on using others when its links are back."""
 
--- a/tests/test_paths.py
+++ b/tests/test_paths.py
@@ -84,6 +84,20 @@
     assert lose(reachability, server(3), since=NOW + 0.1) == [["a1"]]
 
 
+def test_a_host_counts_as_cut_off_when_no_host_reaches_servers_and_none_responds():
+    """Guards against requests that wait for timeouts while all hosts are cut off."""
+    reachability = Reachability()
+    reachability.heard(entry(9), NOW - MAX_QUIET_S - 0.1)
+    assert not reachability.note_unreached(entry(1), NOW, DOMAINS, NOW)
+    assert not reachability.note_unreached(entry(2), NOW, DOMAINS, NOW)
+    reachability.heard(entry(9), NOW + 0.1)
+    late = NOW + 0.2
+    assert not reachability.note_unreached(entry(3, "a2"), late, DOMAINS, late)
+    late = NOW + 5.0
+    assert reachability.note_unreached(entry(4, "b1"), late, DOMAINS, late)
+    assert reachability.lost_domains == DOMAINS
+
+
 def test_a_connection_restores_its_domain_except_servers_lost_on_their_own():
     reachability = Reachability()
     lose(reachability, server(1), server(2))
