Hosts cut from one failure domain no longer confirm crashes there to each other

What callers saw: where three of four hosts are refused by the servers of one domain, these were reported as crashed, and skipped by hosts without an open connection.

Cause: a host believed its refusals while it reached any other server, also of another domain.

Change: the server that must be reached is of the same failure domain if there is one.

Cost: when all servers of a domain end at once, no host reports it; each finds out with its own refused connections, on which nothing is sent.

--- a/lacewingcross/gateway/paths/checks.py
+++ b/lacewingcross/gateway/paths/checks.py
@@ -253,17 +253,23 @@
         A connection that was opened after `since` shows it. True also if no other
         server is known: nothing then speaks against a crash.
         """
+        controls = self._controls(entry)
         server_id, connected_at = self._connected_at
-        if connected_at > since and server_id != entry.server_id:
+        if connected_at > since and any(
+            server.entry.server_id == server_id for server in controls
+        ):
             return True
-        controls = self._controls(entry)
-        for server in controls:
+        for server in controls[:MAX_CONTROLS]:
             if not await probe(self._gateway.backends, server.entry):
                 return True
         return not controls
 
     def _controls(self, entry: ServerEntry) -> list[Server]:
-        """Return other servers that should accept connections, the nearest first."""
+        """Return other servers that should accept connections, the nearest first.
+
+        They are of the same failure domain if there are any: a partition may keep this
+        host from one domain only.
+        """
         placement = self._gateway.steering.placement
         ledger = self._gateway.crashes.ledger
         others = [
@@ -272,8 +278,11 @@
             if server.entry.server_id != entry.server_id
             and not ledger.has_crashed(server.entry.incarnation)
         ]
-        others.sort(key=placement.expectations.network_s)
-        return others[:MAX_CONTROLS]
+        domain = entry.failure_domain
+        in_domain = [s for s in others if s.entry.failure_domain == domain]
+        controls = in_domain or others
+        controls.sort(key=placement.expectations.network_s)
+        return controls
 
     def close(self) -> None:
         """Cancel all checks."""
--- a/tests/test_cut_from_servers.py
+++ b/tests/test_cut_from_servers.py
@@ -158,6 +158,23 @@
         assert failed <= MAX_FAILED_SHARE and not crashes, seen
 
 
+def test_hosts_that_cannot_reach_a_domain_do_not_confirm_crashes_there():
+    """Guards against cut hosts that confirm each other's reports of crashes."""
+
+    async def scenario():
+        domains = ("a1", "a1", "a2", "b1")
+        async with _running_fleet(domains) as (env, apps, links, callers):
+            addresses = [server.address for server in env.servers[::3]]
+            for app in apps[:3]:
+                await links.cut(app, Cut.REFUSE_NEW, addresses)
+            for app in apps:
+                await callers.send_at_once(app, 40)
+            await asyncio.sleep(1.0)
+            assert _count_crashes(apps) == 0
+
+    asyncio.run(scenario())
+
+
 def test_a_host_that_is_cut_from_two_of_three_domains_goes_on_using_the_third():
     """Guards against a partial cut that is taken for a total one."""
 
