Soak: cut single hosts from all servers in three ways, in every run

Hosts run with their connections to servers led through a proxy of their own, which hangs, refuses, or refuses only new ones. No promise is excused meanwhile: a cut host is in touch with callers, the store and the other hosts.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -6,6 +6,7 @@
 
 from .proxy import FaultyProxy, LinkFault
 from .schedule import Fault
+from .server_path import Cut
 from .servers import SoakServer
 from .world import RESTART_S, SERVES_ON_S, Host, World
 
@@ -109,6 +110,17 @@
     return inject
 
 
+def _server_path(cut: Cut) -> FaultAction:
+    async def inject(world: World, fault: Fault) -> None:
+        """Cut a host from all servers; all promises bind it meanwhile."""
+        path = _host(world, fault).servers
+        path.set_cut(cut)
+        await asyncio.sleep(fault.for_s)
+        path.set_cut(Cut.NONE)
+
+    return inject
+
+
 async def _server_crash(world: World, fault: Fault) -> None:
     if len(world.servers) <= MIN_SERVERS:
         return
@@ -266,6 +278,9 @@
     "peer-path-reset": _link("peers", LinkFault(reset=True)),
     "caller-path-delay": _link("callers", LinkFault(delay_s=LINK_DELAY_S)),
     "caller-path-reset": _link("callers", LinkFault(reset=True)),
+    "server-path-hang": _server_path(Cut.HANG),
+    "server-path-refuse": _server_path(Cut.REFUSE),
+    "server-path-refuse-new": _server_path(Cut.REFUSE_NEW),
     "server-crash": _server_crash,
     "server-dark": _set_behaviour(unresponsive=True),
     "server-drain": _server_drain,
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -47,6 +47,10 @@
 # are drawn separately too; some of them follow each other closely.
 RESTORE_KIND = "store-restore"
 RESTORES_PER_FAULT = 0.1
+# One host loses its links to all servers. These faults are drawn separately too; they
+# follow each other at different hosts and overlap.
+CUT_KINDS = ("server-path-hang", "server-path-refuse", "server-path-refuse-new")
+CUTS_PER_FAULT = 0.25
 FLEET_KINDS = (
     "store-busy",
     "store-many",
@@ -107,6 +111,8 @@
     faults += _draw_signals(rng, length_s, per_s * SIGNALS_PER_FAULT)
     rng = random.Random(f"restores-{seed}")
     faults += _draw_restores(rng, length_s, per_s * RESTORES_PER_FAULT)
+    rng = random.Random(f"cuts-{seed}")
+    faults += _draw_cuts(rng, length_s, per_s * CUTS_PER_FAULT)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -119,6 +125,14 @@
         yield Fault(at, kind, rng.randrange(1 << 16), for_s)
 
 
+def _draw_cuts(rng: random.Random, length_s: float, per_s: float) -> Iterator[Fault]:
+    """Yield at least one cut of each kind."""
+    for index in range(max(len(CUT_KINDS), round(length_s * per_s))):
+        kind = CUT_KINDS[index % len(CUT_KINDS)]
+        at = UNDISTURBED_START_S + rng.uniform(0.0, length_s)
+        yield Fault(at, kind, rng.randrange(1 << 16), rng.uniform(1.0, MAX_FAULT_S))
+
+
 def _draw_restores(
     rng: random.Random, length_s: float, per_s: float
 ) -> Iterator[Fault]:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -24,9 +24,11 @@
 from lacewingcross.standins.object_store import Backup, ObjectStoreStandin
 
 from .accounts import stored_accounts
+from .host_process import PROXY_VARIABLE
 from .ledger import Ledger
 from .popular import QUARANTINE_DELAY_S, PopularRequest
 from .proxy import FaultyProxy
+from .server_path import ServerPath
 from .servers import ServerBehaviour, SoakServer
 
 QUARANTINES = KIND_PATHS[Kind.QUARANTINE]
@@ -59,6 +61,8 @@
     ----------
     callers, store, peers : FaultyProxy
         Proxies on the connections from callers, to the store and from peers.
+    servers : ServerPath
+        The path to the backend servers.
     settings : Path
         The settings file.
     incarnation : int
@@ -70,6 +74,7 @@
     callers: FaultyProxy
     store: FaultyProxy
     peers: FaultyProxy
+    servers: ServerPath
     settings: Path
     incarnation: int = 0
     wanted: bool = True
@@ -140,7 +145,7 @@
             host.proc.kill()
             host.proc.wait()
             host.log.close()
-            for proxy in (host.callers, host.store, host.peers):
+            for proxy in (host.callers, host.store, host.peers, host.servers):
                 await proxy.close()
         for server in self.servers:
             await server.stop()
@@ -153,7 +158,8 @@
         callers = FaultyProxy("127.0.0.1:0", entry)
         store = FaultyProxy("127.0.0.1:0", platform)
         peers = FaultyProxy("127.0.0.1:0", peer_listen)
-        for proxy in (callers, store, peers):
+        servers = ServerPath()
+        for proxy in (callers, store, peers, servers):
             await proxy.start()
         cfg = GatewaySettings(
             host_id=f"host-{index}",
@@ -170,7 +176,7 @@
             metrics_port=int(metrics.rpartition(":")[2]),
         )
         settings = self.directory / f"{cfg.host_id}.json"
-        host = Host(index, cfg, callers, store, peers, settings)
+        host = Host(index, cfg, callers, store, peers, servers, settings)
         host.log = (self.directory / f"{cfg.host_id}.log").open("ab")
         self.hosts.append(host)
         self.host_by_entry[entry] = index
@@ -188,8 +194,12 @@
     def _spawn(self, host: Host) -> None:
         host.incarnation += 1
         host.proc = subprocess.Popen(
-            [sys.executable, "-m", "lacewingcross.gateway"],
-            env={"LACEWINGCROSS_BOOT": str(host.settings), "PATH": "/usr/bin:/bin"},
+            [sys.executable, "-m", "bench.soak.host_process"],
+            env={
+                "LACEWINGCROSS_BOOT": str(host.settings),
+                PROXY_VARIABLE: host.servers.listen,
+                "PATH": "/usr/bin:/bin",
+            },
             cwd=Path(__file__).parents[2],
             stdout=host.log,
             stderr=host.log,
