Tests and soak: call what was there in place of writing it again

One loop copies bytes for both proxies of the soak, with the pause that each applies; the ways of a cut are listed once; tests of carried requests share the server that holds its requests and the one that asks for a back-off. No check, bound or literal changed.

--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from lacewingcross.checks import split_address
@@ -11,6 +12,24 @@
 READ_SIZE = 64 * 1024
 
 
+async def copy_bytes(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    hold: Callable[[], Awaitable[None]],
+) -> None:
+    """Copy a stream to its end; `hold` is awaited before each part and the end."""
+    try:
+        while data := await reader.read(READ_SIZE):
+            await hold()
+            writer.write(data)
+            await writer.drain()
+        await hold()
+        writer.write_eof()
+    except (OSError, RuntimeError):
+        # One side has closed its connection or was reset; no bytes remain to copy.
+        writer.transport.abort()
+
+
 @dataclass(slots=True)
 class LinkFault:
     """The fault that a proxy applies to its connections.
@@ -109,15 +128,7 @@
         inward: bool,
     ) -> None:
         try:
-            while data := await reader.read(READ_SIZE):
-                await self._apply_fault(inward=inward)
-                writer.write(data)
-                await writer.drain()
-            await self._apply_fault(inward=inward)
-            writer.write_eof()
-        except (OSError, RuntimeError):
-            # One side has closed its connection or was reset; no bytes remain to copy.
-            writer.transport.abort()
+            await copy_bytes(reader, writer, lambda: self._apply_fault(inward=inward))
         finally:
             if writer.transport.is_closing():
                 self._close(writer)
--- a/bench/soak/server_path.py
+++ b/bench/soak/server_path.py
@@ -10,7 +10,7 @@
 
 from lacewingcross.checks import split_address
 
-from .proxy import READ_SIZE
+from .proxy import copy_bytes
 
 OPEN = b"+"
 REFUSED = b"-"
@@ -104,27 +104,15 @@
         self._writers.add(streams[1])
         try:
             writer.write(OPEN)
+            hold = self._wait_while_hanging
             await asyncio.gather(
-                self._copy(reader, streams[1]), self._copy(streams[0], writer)
+                copy_bytes(reader, streams[1], hold),
+                copy_bytes(streams[0], writer, hold),
             )
         finally:
             streams[1].transport.abort()
             self._writers.discard(streams[1])
 
-    async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while data := await reader.read(READ_SIZE):
-                await self._wait_while_hanging()
-                writer.write(data)
-                await writer.drain()
-            await self._wait_while_hanging()
-            writer.write_eof()
-        except (OSError, RuntimeError):
-            # One side has closed its connection or was reset.
-            writer.transport.abort()
-
     async def _wait_while_hanging(self) -> None:
         while self._cut is Cut.HANG:
             await self._changed.wait()
--- a/tests/server_links.py
+++ b/tests/server_links.py
@@ -5,10 +5,10 @@
 """
 
 import asyncio
-import enum
 import socket
 from dataclasses import dataclass, field
 
+from bench.soak.server_path import Cut
 from lacewingcross.gateway.backend_connection import BackendConnection
 
 # Connections that fill the accept queue of a listener with a backlog of 0. The kernel
@@ -16,15 +16,8 @@
 FILLING_CONNECTIONS = 2
 
 
-class Cut(enum.Enum):
-    """How a link is cut."""
-
-    # Open connections carry nothing more, and new ones are not answered.
-    HANG = "hang"
-    # Open connections are reset, and new ones are refused.
-    REFUSE = "refuse"
-    # Open connections work as before, and new ones are refused.
-    REFUSE_NEW = "refuse-new"
+# The ways in which a link is cut.
+WAYS = tuple(how for how in Cut if how is not Cut.NONE)
 
 
 @dataclass
--- a/tests/test_cut_from_servers.py
+++ b/tests/test_cut_from_servers.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from .gateway_parts import answer, ask, fleet, until
-from .server_links import Cut, ServerLinks
+from .server_links import WAYS, Cut, ServerLinks
 
 DOMAINS = ("a1", "a2", "b1")
 SERVICE_TIME_S = 0.02
@@ -135,7 +135,7 @@
 
 def test_hosts_without_links_to_servers_serve_through_other_hosts():
     """Guards against refusals at hosts that alone cannot reach the servers."""
-    failed = {how: asyncio.run(_failed_at_cut_hosts(how)) for how in Cut}
+    failed = {how: asyncio.run(_failed_at_cut_hosts(how)) for how in WAYS}
     assert max(max(shares) for shares in failed.values()) <= MAX_FAILED_SHARE, failed
 
 
--- a/tests/test_indirect_requests.py
+++ b/tests/test_indirect_requests.py
@@ -56,6 +56,22 @@
     asyncio.run(limited())
 
 
+def holding():
+    """Return a server's behaviour that answers nothing, and the event of its start."""
+    began = asyncio.Event()
+
+    async def hold(received, writer):
+        began.set()
+        await asyncio.sleep(10)
+
+    return began, hold
+
+
+async def refuse_with_back_off(received, writer):
+    extra = b"X-Lacewingcross-Not-Executed: 1\r\nRetry-After: 5\r\n"
+    writer.write(answer(received.request_id, status=503, extra=extra))
+
+
 def test_a_response_comes_back_unchanged_through_another_host():
     async def scenario():
         async with cut_host() as (env, apps, _):
@@ -109,12 +125,7 @@
     """Guards against a booking that is repeated although a server has run it."""
 
     async def scenario():
-        began = asyncio.Event()
-
-        async def hold(received, writer):
-            began.set()
-            await asyncio.sleep(10)
-
+        began, hold = holding()
         async with cut_host(hold) as (env, apps, _):
             asking = asyncio.ensure_future(ask(apps[0], "/unsafe/1"))
             await began.wait()
@@ -170,12 +181,7 @@
     """Guards against servers that go on working for callers that have left."""
 
     async def scenario():
-        began = asyncio.Event()
-
-        async def hold(received, writer):
-            began.set()
-            await asyncio.sleep(10)
-
+        began, hold = holding()
         async with cut_host(hold) as (env, apps, _):
             conn = await ClientConnection.open(apps[0].gateway.cfg.entry)
             fields = [(b"Host", b"a.example"), *headers("r1")]
@@ -191,12 +197,8 @@
 def test_a_back_off_binds_the_host_in_between():
     """Guards against requests to a server that has asked the sending host for rest."""
 
-    async def refuse(received, writer):
-        extra = b"X-Lacewingcross-Not-Executed: 1\r\nRetry-After: 5\r\n"
-        writer.write(answer(received.request_id, status=503, extra=extra))
-
     async def scenario():
-        async with cut_host(refuse) as (env, apps, _):
+        async with cut_host(refuse_with_back_off) as (env, apps, _):
             assert (await ask(apps[0], "/unsafe/1")).status == 503
             assert (await ask(apps[1], "/unsafe/2", "r2")).status == 503
             assert (await ask(apps[0], "/unsafe/3", "r3")).status == 503
@@ -208,13 +210,9 @@
 def test_another_server_is_used_if_the_host_in_between_may_not_send_to_the_first():
     """Guards against a refusal while another server could serve the request."""
 
-    async def refuse(received, writer):
-        extra = b"X-Lacewingcross-Not-Executed: 1\r\nRetry-After: 5\r\n"
-        writer.write(answer(received.request_id, status=503, extra=extra))
-
     async def scenario():
         async with cut_host() as (env, apps, links):
-            await env.add_server(refuse, domain="a1")
+            await env.add_server(refuse_with_back_off, domain="a1")
             known = apps[0].gateway.steering.placement.known.servers
             await until(lambda: "i-2" in known)
             await lose_paths(env, links, apps[0])
