Log each grant and refusal of the retry budget

The lines could not tell whether too many repeats come from young processes, from shares that add up to more than one, or from repeats that arrive late. retry-granted and retry-refused name what is left, the share and the age of the process, and retries-refused.budget counts.

--- a/lacewingcross/core/attempts.py
+++ b/lacewingcross/core/attempts.py
@@ -142,6 +142,11 @@
         """Count one request."""
         self._tokens = min(self._max_tokens, self._tokens + 1)
 
+    @property
+    def left(self) -> float:
+        """Number of retries that are left, with the part of the next one."""
+        return self._tokens / self.requests_per_retry
+
     def available(self) -> bool:
         """Return whether the budget allows a retry."""
         return self._tokens >= self.requests_per_retry
--- a/lacewingcross/core/retry_budgets.py
+++ b/lacewingcross/core/retry_budgets.py
@@ -33,6 +33,11 @@
             self._extra = extra
             self._budgets.clear()
 
+    @property
+    def host_share(self) -> float:
+        """Share of the extra retries of all hosts that this host has, 0 to 1."""
+        return self._host_share
+
     def set_host_share(self, share: float) -> None:
         """Set this host's share, 0 to 1, of the extra retries of all hosts.
 
--- a/lacewingcross/gateway/attempt_log.py
+++ b/lacewingcross/gateway/attempt_log.py
@@ -72,6 +72,29 @@
             left_ms=int(1000 * time_left_s),
         )
 
+    def retry(self, service: str, reason: str, *, granted: bool) -> None:
+        """Log whether the retry budget allows another attempt, and what is left of it.
+
+        Parameters
+        ----------
+        service : str
+            The service whose budget it is.
+        reason : str
+            Stable code of why the attempt before failed.
+        granted : bool
+            Whether the attempt is made.
+        """
+        budgets = self._gateway.steering.retry_budgets
+        logs.event(
+            "retry-granted" if granted else "retry-refused",
+            id=self._frame.request_id,
+            service=service,
+            why=reason,
+            budget_left=round(budgets.of(service).left, 2),
+            share=round(budgets.host_share, 4),
+            age_s=round(self._gateway.age_s(), 1),
+        )
+
     def superseded(self, attempt: Attempt, time_left_s: float) -> None:
         """Log that the server no longer allowed the attempt just before its first byte.
 
--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -147,6 +147,7 @@
             if self.attempts and not (self._superseded or self._path_changed):
                 budget.spend()
                 self._gateway.metrics.count(f"retries.{self._failure_reason}")
+                self._log.retry(self._service, self._failure_reason, granted=True)
             verdict = await self._run_attempt(choice)
             if self._superseded or self._path_changed:
                 continue
@@ -363,26 +364,24 @@
                 async with asyncio.timeout(wait_s):
                     return await run.read_head(request_id)
             except TimeoutError:
-                if self._may_try_another():
+                if self._may_try_another(SILENT_SERVER):
                     raise _SilentServerError from None
 
-    def _may_try_another(self) -> bool:
+    def _may_try_another(self, reason: str) -> bool:
         """Return whether another attempt is allowed and a server can take it.
 
-        The route limits the attempts, and time and retry budget must be left.
+        The route limits the attempts, and time and retry budget must be left. `reason`
+        is the code of why another attempt is wanted.
         """
         if (
             self.attempts >= self._req.route.max_attempts
             or self._time_left_s() < MIN_TIME_LEFT_S
         ):
             return False
-        steering = self._gateway.steering
-        if not steering.retry_budgets.of(self._service).available():
-            return False
-        choice = steering.placement.choose(
+        choice = self._gateway.steering.placement.choose(
             self._placement_request(), self._gateway.now()
         )
-        return isinstance(choice, Choice)
+        return isinstance(choice, Choice) and self._budget_allows_retry(reason)
 
     async def _conclude(
         self,
@@ -391,17 +390,7 @@
         ending: Ending,
         answer: Answer | None,
     ) -> Verdict:
-        budget = self._gateway.steering.retry_budgets.of(self._service)
         await self._repeated_request.wait_for_crash_check()
-        verdict = decide(
-            attempt,
-            ending,
-            repeatable=self._req.route.repeatable,
-            body_replayable=self._req.body.size <= READ_AHEAD_BYTES,
-            time_left=self._time_left_s() > MIN_TIME_LEFT_S
-            and self.attempts < self._req.route.max_attempts,
-            budget_left=budget.available(),
-        )
         if attempt.stage is Stage.NOT_SENT:
             self._repeated_request.record_not_run()
         if ending is Ending.SERVER_NOT_RUN:
@@ -412,7 +401,7 @@
             )
         if ending is Ending.SERVER_ERROR:
             self._failure_reason = f"server-{answer.head.status}"
-            verdict = self._retry_server_error(verdict)
+        verdict = self._decide(attempt, ending)
         if verdict is not Verdict.DONE or self.attempts > 1:
             time_left_s = self._time_left_s()
             fingerprint = (
@@ -435,6 +424,42 @@
             run.release_connection(complete=False)
         return verdict
 
+    def _decide(self, attempt: Attempt, ending: Ending) -> Verdict:
+        """Decide what becomes of the request; a retry is checked against the budget."""
+        verdict = self._decide_with(attempt, ending, budget_left=True)
+        if ending is Ending.SERVER_ERROR:
+            return self._retry_server_error(verdict)
+        if verdict is Verdict.RETRY and not self._budget_allows_retry(
+            self._failure_reason
+        ):
+            return self._decide_with(attempt, ending, budget_left=False)
+        return verdict
+
+    def _decide_with(
+        self, attempt: Attempt, ending: Ending, *, budget_left: bool
+    ) -> Verdict:
+        route = self._req.route
+        return decide(
+            attempt,
+            ending,
+            repeatable=route.repeatable,
+            body_replayable=self._req.body.size <= READ_AHEAD_BYTES,
+            time_left=self._time_left_s() > MIN_TIME_LEFT_S
+            and self.attempts < route.max_attempts,
+            budget_left=budget_left,
+        )
+
+    def _budget_allows_retry(self, reason: str) -> bool:
+        """Return whether the retry budget allows another attempt; log if not.
+
+        `reason` is the code of why it is wanted.
+        """
+        if self._gateway.steering.retry_budgets.of(self._service).available():
+            return True
+        self._gateway.metrics.count("retries-refused.budget")
+        self._log.retry(self._service, reason, granted=False)
+        return False
+
     async def _deliver(self, run: AttemptRun, answer: Answer) -> None:
         try:
             await self._reply.deliver(run, answer)
@@ -453,9 +478,9 @@
         If no other attempt is allowed, or the request must not run twice, return
         `verdict`.
         """
-        route = self._req.route
-        may_retry = self._may_try_another()
-        return Verdict.RETRY if route.repeatable and may_retry else verdict
+        if self._req.route.repeatable and self._may_try_another(self._failure_reason):
+            return Verdict.RETRY
+        return verdict
 
 
 class _SupersededError(Exception):
--- a/lacewingcross/gateway/context.py
+++ b/lacewingcross/gateway/context.py
@@ -135,6 +135,10 @@
         """Return the monotonic time in seconds."""
         return self._clock.monotonic()
 
+    def age_s(self) -> float:
+        """Return for how many seconds this process has run."""
+        return self.now() - self._started_at
+
     def times(self) -> ClockReading:
         """Return the monotonic time and the time that also runs during a suspend."""
         return ClockReading(self._clock.monotonic(), self._clock.boottime())
