--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -23,7 +23,12 @@
     POPULAR_TARGET,
     QUARANTINE_CRASHES,
 )
-from bench.soak.retries import RETRY_EXTRA
+from bench.soak.retries import (
+    RETRY_EXTRA,
+    RETRY_RATIO,
+    RETRY_WINDOW_S,
+    worst_window,
+)
 from bench.soak.schedule import draw_faults
 from bench.soak.signals import Arrival
 
@@ -214,6 +219,24 @@
     assert violated_rules(observed) == ["BUDGET"]
 
 
+def test_requests_of_one_window_only_allow_repeats():
+    # Guards against a check that counts the requests of one and a half windows.
+    requests = [index / 20 for index in range(20 * 15)]
+    allowed = int(RETRY_RATIO * 20 * RETRY_WINDOW_S + RETRY_EXTRA)
+    repeats = [14.0] * (allowed + 1)
+    window = worst_window(requests, repeats)
+    assert window.excess(RETRY_EXTRA) > 0
+    assert worst_window(requests, repeats[2:]).excess(RETRY_EXTRA) <= 0
+
+
+def test_requests_of_the_window_before_allow_repeats():
+    requests = [5.0] * 100
+    repeats = [14.9] * int(RETRY_RATIO * 100 + RETRY_EXTRA)
+    assert worst_window(requests, repeats).excess(RETRY_EXTRA) <= 0
+    later = [at + RETRY_WINDOW_S for at in repeats]
+    assert worst_window(requests, later).excess(RETRY_EXTRA) > 0
+
+
 def test_a_fleet_that_does_not_recover_is_found():
     observed = ledger()
     observed.calm_from, observed.calm_to = 10.0, 20.0
