--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -167,9 +167,9 @@
         await asyncio.sleep(starts_s)
         while True:
             await asyncio.sleep(rng.uniform(*pause_s))
-            await self._send_alone(rng.randrange(len(self._world.hosts)), planned)
+            await self.send_alone(rng.randrange(len(self._world.hosts)), planned)
 
-    async def _send_alone(self, host: int, planned: PlannedRequest) -> None:
+    async def send_alone(self, host: int, planned: PlannedRequest) -> None:
         """Send one request on a connection of its own."""
         conn = await self._open(host)
         if conn is not None:
@@ -183,7 +183,7 @@
         A copy that is running when its quarantine comes back would be answered and end
         it again.
         """
-        await self._send_alone(0, popular)
+        await self.send_alone(0, popular)
         await self._repeat(popular, POPULAR_PAUSE_S, name, POPULAR_QUIET_S)
 
     async def _send_continuously(
--- a/tests/test_retries_processes.py
+++ b/tests/test_retries_processes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from bench.soak import callers as soak_callers
+from bench.soak.callers import Callers, PlannedRequest
 from bench.soak.ledger import DEADLINE_S
 from bench.soak.retries import RETRY_EXTRA, arrivals_of, worst_window
 from bench.soak.run import START_UP_S
@@ -16,35 +16,24 @@
 SERVERS = 24
 REQUEST_INTERVAL_S = 1 / 60
 # When the shedding of the servers begins and ends, in seconds after the first request.
-SHEDDING_S = (3.0, 18.0)
+SHEDDING_S = (2.0, 14.0)
 # When hosts are killed, in seconds after the first request.
 KILLED_AT_S = {
     "no-host": [],
-    "all-hosts-three-times": [(at, range(HOSTS)) for at in (4.0, 8.0, 12.0)],
+    "all-hosts-three-times": [(at, range(HOSTS)) for at in (3.0, 6.5, 10.0)],
     "one-host-after-the-other": [
-        (4.0 + 0.8 * index, [index % HOSTS]) for index in range(15)
+        (3.0 + 0.7 * index, [index % HOSTS]) for index in range(14)
     ],
 }
 
 
-class Reads(soak_callers.Callers):
-    """Callers that send reads at a steady rate, each to the next host."""
-
-    def __init__(self, world, rng):
-        super().__init__(world, rng)
-        self.sending = set()
-
-    async def send_steadily(self):
-        entries = itertools.cycle(list(self.world.host_by_entry))
-        for number in itertools.count():
-            entry = next(entries)
-            planned = soak_callers.PlannedRequest(
-                "read", "calendar", "GET", f"/calendar/{number}"
-            )
-            task = asyncio.ensure_future(self.send_one(entry, planned))
-            self.sending.add(task)
-            task.add_done_callback(self.sending.discard)
-            await asyncio.sleep(REQUEST_INTERVAL_S)
+async def _send_reads(world, sending):
+    """Send reads at a steady rate, each to the next host."""
+    callers = Callers(world, random.Random(2))
+    for number in itertools.count():
+        planned = PlannedRequest("read", "calendar", "GET", f"/calendar/{number}")
+        sending.add(asyncio.ensure_future(callers.send_alone(number % HOSTS, planned)))
+        await asyncio.sleep(REQUEST_INTERVAL_S)
 
 
 async def _shed(world):
@@ -70,16 +59,26 @@
 async def _run(directory, kills):
     world = World(directory, random.Random(1))
     await world.start(HOSTS, SERVERS)
-    reads = Reads(world, random.Random(2))
-    tasks = []
+    sending = set()
     try:
         await asyncio.sleep(START_UP_S)
-        tasks.append(asyncio.ensure_future(reads.send_steadily()))
+        sending.add(asyncio.ensure_future(_send_reads(world, sending)))
         await asyncio.gather(_shed(world), _kill(world, kills))
         await asyncio.sleep(DEADLINE_S)
     finally:
-        for task in [*tasks, *reads.sending]:
+        for task in sending:
             task.cancel()
-        await asyncio.gather(*tasks, *reads.sending, return_exceptions=True)
+        await asyncio.gather(*sending, return_exceptions=True)
         await world.stop()
     return world.ledger
+
+
+@pytest.mark.parametrize("kills", KILLED_AT_S.values(), ids=KILLED_AT_S)
+def test_restarts_give_no_more_retries(tmp_path, kills):
+    # Guards against a restarted host that retries as if it had sent no retries before.
+    ledger = asyncio.run(_run(tmp_path, kills))
+    requests, repeats = arrivals_of(ledger)
+    worst = worst_window(requests["calendar"], repeats["calendar"])
+    assert worst.excess(RETRY_EXTRA) <= 0, worst
+    # Servers that shed everything leave no doubt that retries were wanted.
+    assert worst.repeats >= RETRY_EXTRA / 2
