Send no part of an upload as if it were the whole body

Callers got 200 for uploads of which a server had stored only the first part. An upload of more than 512 KiB that a host in between refused (no room, for one) had already been read to its end; the request then went through another host, and the part that was kept was sent as the whole body, with a length or an end of its own. decide() checked that a body can be sent again, the change of paths did not.

The body itself now says whether all that was read of it is kept, and both ways of a second try ask it. An upload of which nothing more was read yet may be tried again, whatever its size.

--- a/lacewingcross/gateway/attempt.py
+++ b/lacewingcross/gateway/attempt.py
@@ -40,13 +40,15 @@
     """The caller's body, as far as it was read.
 
     `parts` and `size`, in bytes, cover what `read_ahead` has read. `complete` says that
-    the whole body was read.
+    the whole body was read, and `replayable` that `parts` has all that was read, so
+    that the body can be sent again.
     """
 
     exchange: Exchange
     parts: list[bytes]
     size: int = 0
     complete: bool = False
+    replayable: bool = True
 
     async def read_ahead(self, max_bytes: int) -> None:
         """Read the body until it is complete or longer than `max_bytes`."""
@@ -138,6 +140,7 @@
 
         A response that arrives earlier is read only after the whole body was sent.
         """
+        self._body.replayable = False
         while not self._body.complete:
             part = await self._body.exchange.read()
             self._body.complete = not part
--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -298,6 +298,7 @@
         if (
             self._connect_failures > MAX_CONNECT_FAILURES
             or self._time_left_s() < MIN_TIME_LEFT_S
+            or not self._req.body.replayable
         ):
             return False
         paths = self._gateway.paths
@@ -448,7 +449,7 @@
             attempt,
             ending,
             repeatable=route.repeatable,
-            body_replayable=self._req.body.size <= READ_AHEAD_BYTES,
+            body_replayable=self._req.body.replayable,
             time_left=self._time_left_s() > MIN_TIME_LEFT_S
             and self.attempts < route.max_attempts,
             budget_left=budget_left,
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -256,9 +256,9 @@
         await until(lambda: not app.gateway.roster.starting)
         return app
 
-    async def ready_hosts(self, *domains):
+    async def ready_hosts(self, *domains, **settings):
         """Start a host in each of these failure domains; wait until all serve."""
-        apps = [await self.add_host(domain=domain) for domain in domains]
+        apps = [await self.add_host(domain=domain, **settings) for domain in domains]
         for app in apps:
             await self.ready(app)
         return apps
--- a/tests/test_indirect_requests.py
+++ b/tests/test_indirect_requests.py
@@ -6,6 +6,8 @@
 import pytest
 
 from lacewingcross.core import messages as msg
+from lacewingcross.gateway.paths.carrier import Carrier
+from lacewingcross.gateway.paths.reasons import NO_ROOM
 from lacewingcross.http1_client import ClientConnection, HttpError
 from lacewingcross.wire import encode, read_message
 
@@ -23,7 +25,7 @@
         env.configure(**route)
         for index in range(servers):
             await env.add_server(behave, domain=DOMAINS[index % 3])
-        apps = await env.ready_hosts(*DOMAINS[:hosts])
+        apps = await env.ready_hosts(*DOMAINS[:hosts], first_start=True)
         await until(
             lambda: all(
                 len(app.gateway.roster.direct_peers(app.gateway.now())) == hosts - 1
@@ -104,6 +106,31 @@
     run(scenario)
 
 
+def test_an_upload_that_one_host_refuses_reaches_its_server_whole(monkeypatch):
+    """Guards against a second try that sends only the part that was kept."""
+    refusal_of = Carrier._refusal_of
+
+    def refuse_at_first_host(self, message):
+        own_id = self._gateway.roster.own.host_id
+        return NO_ROOM if own_id == "host-1" else refusal_of(self, message)
+
+    async def scenario():
+        monkeypatch.setattr(Carrier, "_refusal_of", refuse_at_first_host)
+        async with cut_host(hosts=3, servers=2) as (env, apps, _):
+            served = 0
+            for number in range(8):
+                response = await ask(
+                    apps[0], f"/unsafe/{number}", method="POST", body=LARGE
+                )
+                assert response.status in (200, 503)
+                served += response.status == 200
+            received = [req for server in env.servers for req in server.requests]
+            assert len(received) == served
+            assert all(req.body == LARGE for req in received)
+
+    run(scenario)
+
+
 def test_a_response_that_breaks_off_behind_another_host_does_not_look_whole():
     """Guards against a truncated response that the caller takes for complete."""
 
