Send the rest of an upload through another host only when that host asks for it

Cause: the rest of the body followed a refusal on a stream that counted as free; the carrier read a part of a body where a request was due and closed the stream, under whatever request used it next. Besides, all of the body crossed the link before the refusal was read.

The carrier now asks for the rest (IndirectContinue, protocol 10) once it has begun to send the request; a refusal comes instead of that, so nothing follows it. After a later failure it reads the body to its end. A refused upload was not read from its caller and may be tried at another host.

--- a/lacewingcross/core/messages.py
+++ b/lacewingcross/core/messages.py
@@ -450,7 +450,8 @@
 
     `headers` are those for the server, with the time to the deadline. With
     `repeatable`, the request may run twice. `body` is the part of the body that is at
-    hand; unless `complete`, the rest follows in `IndirectBody` messages.
+    hand; unless `complete`, the rest follows in `IndirectBody` messages when the
+    receiver has asked for it with `IndirectContinue`.
     """
 
     server_id: str
@@ -463,6 +464,13 @@
     complete: bool
 
 
+class IndirectContinue(_Message, tag=39):
+    """Asks for the rest of a request's body: what was at hand is sent to the server.
+
+    Until then, a refusal ends the exchange and nothing else follows.
+    """
+
+
 class IndirectBody(_Message, tag=36):
     """A further part of a body, of the request or of the response."""
 
@@ -494,6 +502,7 @@
     ServerCheck
     | ServerCheckResult
     | IndirectRequest
+    | IndirectContinue
     | IndirectBody
     | IndirectHead
     | IndirectFailure
--- a/lacewingcross/gateway/attempt.py
+++ b/lacewingcross/gateway/attempt.py
@@ -140,6 +140,7 @@
 
         A response that arrives earlier is read only after the whole body was sent.
         """
+        await self._conn.wait_for_continue()
         self._body.replayable = False
         while not self._body.complete:
             part = await self._body.exchange.read()
--- a/lacewingcross/gateway/backend_connection.py
+++ b/lacewingcross/gateway/backend_connection.py
@@ -143,6 +143,9 @@
             raise HttpError("bad-head", sent=False, detail=repr(exc)) from exc
         self.transport.write(b"".join(data))
 
+    async def wait_for_continue(self) -> None:
+        """Return at once: a server is sent the whole body without being asked."""
+
     def send_more(self, data: bytes) -> None:
         """Write a further part of the body; an empty part ends it."""
         event = h11.Data(data=data) if data else h11.EndOfMessage()
--- a/lacewingcross/gateway/paths/carrier.py
+++ b/lacewingcross/gateway/paths/carrier.py
@@ -173,7 +173,16 @@
         Gives the further parts of the request's body.
     """
 
-    __slots__ = ("_conn", "_gateway", "_inbox", "_info", "_request", "_sent", "_server")
+    __slots__ = (
+        "_conn",
+        "_expects_body",
+        "_gateway",
+        "_inbox",
+        "_info",
+        "_request",
+        "_sent",
+        "_server",
+    )
 
     def __init__(
         self,
@@ -189,6 +198,8 @@
         servers = gateway.steering.placement.known.servers
         self._server = servers.get(request.server_id)
         self._conn: BackendConnection | None = None
+        # Whether parts of the body follow that the other host was asked for.
+        self._expects_body = False
         # Whether the server may have got a byte of the request.
         self._sent = False
 
@@ -210,6 +221,7 @@
             else:
                 outcome = await self._run(writer)
             await writer.drain()
+            await self._skip_body()
         finally:
             self._release(complete=False)
             self._log(outcome)
@@ -247,7 +259,10 @@
         sent_at = gateway.now()
         gateway.steering.placement.gate.carried(self._server.entry.incarnation, sent_at)
         self._send_request(left_s - (sent_at - began_at))
-        await self._forward_body()
+        if not self._request.complete:
+            writer.write(encode(msg.IndirectContinue()))
+            self._expects_body = True
+            await self._forward_body()
         request_id = hd.find(self._request.headers, ph.REQUEST_ID).encode("latin-1")
         head = await self._conn.read_head(request_id)
         gateway.paths.reachability.heard(self._server.entry, gateway.now())
@@ -269,17 +284,29 @@
 
     async def _forward_body(self) -> None:
         """Forward the rest of the request's body as it arrives."""
-        complete = self._request.complete
-        while not complete:
-            part = await self._inbox.get()
-            if not isinstance(part, msg.IndirectBody):
-                raise FrameError("bad-frame", "expected a part of the body")
-            complete = part.complete
+        while self._expects_body:
+            part = await self._next_part()
             if part.data:
                 self._conn.send_more(part.data)
-            if complete:
+            if part.complete:
                 self._conn.send_more(b"")
 
+    async def _skip_body(self) -> None:
+        """Read the rest of the body after a failure.
+
+        The other host reads the failure only after it has sent the whole body.
+        """
+        async with asyncio.timeout(IDLE_TIMEOUT_S):
+            while self._expects_body:
+                await self._next_part()
+
+    async def _next_part(self) -> msg.IndirectBody:
+        part = await self._inbox.get()
+        if not isinstance(part, msg.IndirectBody):
+            raise FrameError("bad-frame", "expected a part of the body")
+        self._expects_body = not part.complete
+        return part
+
     async def _forward_response(
         self, head: ResponseHead, writer: asyncio.StreamWriter
     ) -> None:
--- a/lacewingcross/gateway/paths/streams.py
+++ b/lacewingcross/gateway/paths/streams.py
@@ -124,6 +124,18 @@
             )
         )
 
+    async def wait_for_continue(self) -> None:
+        """Wait until the other host asks for the rest of the body.
+
+        Raises
+        ------
+        HttpError
+            With ``sent=False`` if the other host has sent nothing to the server.
+        """
+        message = await self._read()
+        if not isinstance(message, msg.IndirectContinue):
+            raise self._error_of(message)
+
     def send_more(self, data: bytes) -> None:
         """Send a further part of the body; an empty part ends it."""
         if self.closed:
--- a/lacewingcross/wire.py
+++ b/lacewingcross/wire.py
@@ -16,7 +16,7 @@
 
 # Increment it whenever the layout of a message changes. A host refuses a stream whose
 # protocol number differs from its own.
-PROTOCOL = 9
+PROTOCOL = 10
 # Limits in bytes: on the body of a received frame as it is sent, and on a decompressed
 # body.
 MAX_FRAME = 4 * 1024 * 1024
--- a/tests/test_indirect_requests.py
+++ b/tests/test_indirect_requests.py
@@ -7,7 +7,8 @@
 
 from lacewingcross.core import messages as msg
 from lacewingcross.gateway.paths.carrier import Carrier
-from lacewingcross.gateway.paths.reasons import NO_ROOM
+from lacewingcross.gateway.paths.reasons import NO_ROOM, NOT_ALLOWED
+from lacewingcross.gateway.paths.streams import IndirectConnection
 from lacewingcross.http1_client import ClientConnection, HttpError
 from lacewingcross.wire import encode, read_message
 
@@ -106,6 +107,61 @@
     run(scenario)
 
 
+def _count_streams(monkeypatch):
+    """Return a list that grows by the host of each stream that a carrier serves."""
+    sources = []
+    serve = Carrier.serve
+
+    async def counted(self, info, *args):
+        sources.append(info.host_id)
+        await serve(self, info, *args)
+
+    monkeypatch.setattr(Carrier, "serve", counted)
+    return sources
+
+
+def test_a_refused_upload_leaves_its_stream_fit_for_the_next_request(monkeypatch):
+    """Guards against an upload's rest that is taken for the next caller's request."""
+
+    def refuse_uploads(self, message):
+        return NOT_ALLOWED if message.method == "POST" else ""
+
+    async def scenario():
+        monkeypatch.setattr(Carrier, "_refusal_of", refuse_uploads)
+        streams = _count_streams(monkeypatch)
+        async with cut_host() as (env, apps, _):
+            for number in range(6):
+                response = await ask(
+                    apps[0], f"/unsafe/{number}", method="POST", body=LARGE
+                )
+                assert response.status == 503
+                assert (await ask(apps[0], f"/safe/{number}")).status == 200
+            assert {received.method for received in env.servers[0].requests} == {"GET"}
+            assert streams == ["host-0"]
+
+    run(scenario)
+
+
+def test_a_refused_upload_is_not_sent(monkeypatch):
+    """Guards against whole uploads that cross a link only to be thrown away."""
+
+    async def scenario():
+        monkeypatch.setattr(Carrier, "_refusal_of", lambda *_: NOT_ALLOWED)
+        parts = []
+        send_more = IndirectConnection.send_more
+        monkeypatch.setattr(
+            IndirectConnection,
+            "send_more",
+            lambda self, data: (parts.append(data), send_more(self, data)),
+        )
+        async with cut_host() as (_, apps, _links):
+            response = await ask(apps[0], "/unsafe/1", method="POST", body=LARGE)
+            assert response.status == 503
+            assert parts == []
+
+    run(scenario)
+
+
 def test_an_upload_that_one_host_refuses_reaches_its_server_whole(monkeypatch):
     """Guards against a second try that sends only the part that was kept."""
     refusal_of = Carrier._refusal_of
@@ -124,6 +180,7 @@
                 )
                 assert response.status in (200, 503)
                 served += response.status == 200
+            assert served
             received = [req for server in env.servers for req in server.requests]
             assert len(received) == served
             assert all(req.body == LARGE for req in received)
@@ -131,6 +188,36 @@
     run(scenario)
 
 
+def test_a_server_that_ends_an_upload_early_does_not_discredit_the_host_in_between():
+    """Guards against a sound host that is skipped as unreachable."""
+
+    async def close_early(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+
+    async def scenario():
+        async with cut_host() as (env, apps, links):
+            server = await asyncio.start_server(close_early, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            env.store.delete("servers", "i-1")
+            env.register("i-2", f"127.0.0.1:{port}")
+            known = apps[0].gateway.steering.placement.known.servers
+            await until(lambda: list(known) == ["i-2"])
+            links.attach(apps[0])
+            await links.cut(apps[0], Cut.REFUSE, [f"127.0.0.1:{port}"])
+            intermediaries = apps[0].gateway.paths.intermediaries
+            for number in range(6):
+                response = await ask(
+                    apps[0], f"/unsafe/{number}", method="POST", body=LARGE
+                )
+                assert response.status == 502
+                info = intermediaries.choose("a1", frozenset(), apps[0].gateway.now())
+                assert info.host_id == "host-1"
+            server.close()
+
+    run(scenario)
+
+
 def test_a_response_that_breaks_off_behind_another_host_does_not_look_whole():
     """Guards against a truncated response that the caller takes for complete."""
 
