Forget servers that are gone also while no path is lost

Found by reading. It is cleared now once more times are kept than servers are known, which costs a comparison otherwise. The new test failed before (four entries kept for one server).

--- a/lacewingcross/core/paths/reachability.py
+++ b/lacewingcross/core/paths/reachability.py
@@ -73,6 +73,11 @@
         """Return whether any path is lost."""
         return bool(self._lost or self._lost_domains)
 
+    @property
+    def heard_count(self) -> int:
+        """Return of how many servers the time of the last response is kept."""
+        return len(self._heard_at)
+
     @property
     def lost_domains(self) -> frozenset[str]:
         """Return the failure domains whose servers this host does not reach itself."""
--- a/lacewingcross/gateway/paths/recovery.py
+++ b/lacewingcross/gateway/paths/recovery.py
@@ -84,12 +84,11 @@
     def _forget_gone(self) -> None:
         paths = self._gateway.paths
         paths.intermediaries.forget_gone()
-        if not paths.reachability.any_lost:
+        known = self._gateway.steering.placement.known.servers
+        reachability = paths.reachability
+        if not reachability.any_lost and reachability.heard_count <= len(known):
             return
-        entries = [
-            server.entry
-            for server in self._gateway.steering.placement.known.servers.values()
-        ]
+        entries = [server.entry for server in known.values()]
         paths.reachability.forget_gone(
             {entry.incarnation for entry in entries},
             {entry.failure_domain for entry in entries},
--- a/tests/test_cut_from_servers.py
+++ b/tests/test_cut_from_servers.py
@@ -108,6 +108,26 @@
             links.close()
 
 
+def test_servers_that_are_gone_are_forgotten_while_no_path_is_lost():
+    # Guards against memory that grows with each server that ever answered.
+    async def scenario():
+        async with fleet() as env:
+            env.configure()
+            await env.add_server(_behave)
+            (app,) = await env.ready_hosts("a1")
+            known = app.gateway.steering.placement.known.servers
+            reachability = app.gateway.paths.reachability
+            for number in range(4):
+                server_id = f"i-{number + 1}"
+                await until(lambda name=server_id: list(known) == [name])
+                assert (await ask(app, f"/safe/{number}")).status == 200
+                env.store.delete("servers", server_id)
+                await env.add_server(_behave)
+            await until(lambda: reachability.heard_count <= 1, limit_s=2.0)
+
+    asyncio.run(scenario())
+
+
 async def _cut_off(env, links, apps, how):
     for app in apps:
         await links.cut(app, how, [server.address for server in env.servers])
