--- a/lacewingcross/core/paths/reachability.py
+++ b/lacewingcross/core/paths/reachability.py
@@ -90,6 +90,9 @@
 
     def is_lost(self, entry: ServerEntry) -> bool:
         """Return whether no new connection to a server can be opened from here."""
+        # Asked for each server of each choice, nearly always while no path is lost.
+        if not (self._lost or self._lost_domains):
+            return False
         return (
             entry.failure_domain in self._lost_domains
             or entry.incarnation in self._lost
