Give back streams and drop idle connections in one place each

Connector.release, release_unused and discard were the same thing for a stream; closing idle connections stood twice in Backends.

--- a/lacewingcross/gateway/backends.py
+++ b/lacewingcross/gateway/backends.py
@@ -160,10 +160,7 @@
 
     def drop_idle_before(self, server: ServerEntry, since: float) -> None:
         """Close the idle connections that have not been used after a time."""
-        idle = self._idle.get(server.incarnation, [])
-        for conn in [conn for conn in idle if conn.used_at <= since]:
-            idle.remove(conn)
-            self.discard(server, conn)
+        self._drop_idle(server, lambda conn: conn.used_at <= since)
 
     def _drop_lost(self, server: ServerEntry) -> None:
         """Stop counting idle connections that the server has closed.
@@ -173,8 +170,13 @@
         open no new one to check whether the server is alive, and would see only its own
         limit.
         """
-        idle = self._idle[server.incarnation]
-        for conn in [conn for conn in idle if conn.lost]:
+        self._drop_idle(server, lambda conn: bool(conn.lost))
+
+    def _drop_idle(
+        self, server: ServerEntry, is_dropped: Callable[[BackendConnection], bool]
+    ) -> None:
+        idle = self._idle.get(server.incarnation, [])
+        for conn in [conn for conn in idle if is_dropped(conn)]:
             idle.remove(conn)
             self.discard(server, conn)
 
--- a/lacewingcross/gateway/paths/connector.py
+++ b/lacewingcross/gateway/paths/connector.py
@@ -124,30 +124,25 @@
     def release(self, server: ServerEntry, conn: Connection) -> None:
         """Keep a connection whose exchange is complete, and close it otherwise."""
         if isinstance(conn, IndirectConnection):
-            self._streams.release(self._end(conn), conn)
+            self._release_stream(conn)
         else:
             self._backends.release(server, conn)
 
     def release_unused(self, server: ServerEntry, conn: Connection) -> None:
         """Keep a connection on which nothing was sent."""
         if isinstance(conn, IndirectConnection):
-            self._end(conn)
-            conn.close()
+            self._release_stream(conn)
         else:
             self._backends.release_unused(server, conn)
 
     def discard(self, server: ServerEntry, conn: Connection) -> None:
-        """Close a connection."""
+        """Close a connection, but keep a stream that can carry another exchange."""
         if isinstance(conn, IndirectConnection):
-            info = self._end(conn)
-            if conn.prepare_for_reuse():
-                self._streams.release(info, conn)
-            else:
-                conn.close()
+            self._release_stream(conn)
         else:
             self._backends.discard(server, conn)
 
-    def _end(self, conn: IndirectConnection) -> HostInfo:
+    def _release_stream(self, conn: IndirectConnection) -> None:
         info = self._hosts.pop(conn)
         self._paths.intermediaries.ended(info.host_id)
-        return info
+        self._streams.release(info, conn)
