Move the decision on another attempt out of the series of attempts

RetryDecision earns, asks and spends the retry budget and holds the checks of time, attempts and body; the series makes the attempts. No behaviour changes. Tests of the gateway, carried requests, attempts, back-offs, limits and budgets: passed.

--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -4,10 +4,9 @@
 from dataclasses import replace
 
 from .. import logs
-from ..core.attempts import Attempt, Ending, Stage, Verdict, decide
+from ..core.attempts import Attempt, Ending, Stage, Verdict
 from ..core.paths.path import Path
 from ..core.placement_types import Choice, PlacementRequest, Refusal
-from ..core.retry_budgets import RetryBudget
 from ..http1_client import HttpError, ResponseHead
 from .attempt import (
     Answer,
@@ -23,15 +22,13 @@
 from .paths.reasons import HOST_REASONS, SILENT_SERVER
 from .repeats import RepeatedRequest
 from .reply import HostAnswer, Reply
+from .retry_decision import RetryDecision
 from .routed_request import RoutedRequest
 from .signals import record_signals
 
 # Request bodies up to this size are read before a server is chosen. A caller that sends
 # slowly then holds no slot, and the request can be sent again to another server.
 READ_AHEAD_BYTES = 512 * 1024
-# Another attempt is made only if more than this time is left to the deadline, in
-# seconds.
-MIN_TIME_LEFT_S = 0.03
 # Maximum number of attempts of one request that could not connect, on all paths.
 MAX_CONNECT_FAILURES = 4
 QUARANTINED = "quarantined"
@@ -71,6 +68,7 @@
         "_repeated_request",
         "_reply",
         "_req",
+        "_retries",
         "_service",
         "_shed_with_room",
         "_superseded",
@@ -88,6 +86,8 @@
         self._repeated_request = RepeatedRequest(
             gateway, req.frame, req.exchange.head, req.body, req.caller_account
         )
+        # Set when the service is known.
+        self._retries: RetryDecision | None = None
         self._service = ""
         self._tried: set[str] = set()
         # Whether the latest server that shed the request did not report all its slots
@@ -111,11 +111,6 @@
     def _time_left_s(self) -> float:
         return self._req.time_left_s(self._gateway.now())
 
-    def _budget(self) -> RetryBudget:
-        """Return this host's budget of retries for the service of the request."""
-        budgets = self._gateway.steering.retry_budgets
-        return budgets.of(self._service, self._gateway.now())
-
     def may_be_cancelled(self) -> bool:
         """Return whether the request may be cancelled.
 
@@ -136,7 +131,11 @@
         steering = self._gateway.steering
         self._service = steering.service_for(route, self._req.frame.key)
         self._reply.service = self._service
-        self._budget().earn()
+        retries = RetryDecision(
+            self._gateway, self._req, self._service, self._log, self._has_server
+        )
+        self._retries = retries
+        retries.earn()
         while True:
             refused_for_s = self._repeated_request.apply_quarantine()
             if refused_for_s:
@@ -150,9 +149,7 @@
                     return HostAnswer(503, self._failure_reason, self._retry_after_s())
                 return HostAnswer(503, choice.reason, choice.retry_after_s)
             if self.attempts and not (self._superseded or self._path_changed):
-                self._budget().spend()
-                self._gateway.metrics.count(f"retries.{self._failure_reason}")
-                self._log.retry(self._service, self._failure_reason, granted=True)
+                retries.spend(self._failure_reason)
             verdict = await self._run_attempt(choice)
             if self._superseded or self._path_changed:
                 continue
@@ -297,7 +294,7 @@
         self._connect_failures += 1
         if (
             self._connect_failures > MAX_CONNECT_FAILURES
-            or self._time_left_s() < MIN_TIME_LEFT_S
+            or not self._retries.time_left()
             or not self._req.body.replayable
         ):
             return False
@@ -370,24 +367,15 @@
                 async with asyncio.timeout(wait_s):
                     return await run.read_head(request_id)
             except TimeoutError:
-                if self._may_try_another(SILENT_SERVER):
+                if self._retries.may_try_another(self.attempts, SILENT_SERVER):
                     raise _SilentServerError from None
 
-    def _may_try_another(self, reason: str) -> bool:
-        """Return whether another attempt is allowed and a server can take it.
-
-        The route limits the attempts, and time and retry budget must be left. `reason`
-        is the code of why another attempt is wanted.
-        """
-        if (
-            self.attempts >= self._req.route.max_attempts
-            or self._time_left_s() < MIN_TIME_LEFT_S
-        ):
-            return False
+    def _has_server(self) -> bool:
+        """Return whether a server can take another attempt now."""
         choice = self._gateway.steering.placement.choose(
             self._placement_request(), self._gateway.now()
         )
-        return isinstance(choice, Choice) and self._budget_allows_retry(reason)
+        return isinstance(choice, Choice)
 
     async def _conclude(
         self,
@@ -407,7 +395,7 @@
             )
         if ending is Ending.SERVER_ERROR:
             self._failure_reason = f"server-{answer.head.status}"
-        verdict = self._decide(attempt, ending)
+        verdict = self._retries.decide(attempt, ending, self._failure_reason)
         if verdict is not Verdict.DONE or self.attempts > 1:
             time_left_s = self._time_left_s()
             fingerprint = (
@@ -430,44 +418,6 @@
             run.release_connection(complete=False)
         return verdict
 
-    def _decide(self, attempt: Attempt, ending: Ending) -> Verdict:
-        """Decide what becomes of the request; a retry is checked against the budget."""
-        verdict = self._decide_with(attempt, ending, budget_left=True)
-        if ending is Ending.SERVER_ERROR:
-            return self._retry_server_error(verdict)
-        if verdict is Verdict.RETRY and not self._budget_allows_retry(
-            self._failure_reason
-        ):
-            return self._decide_with(attempt, ending, budget_left=False)
-        return verdict
-
-    def _decide_with(
-        self, attempt: Attempt, ending: Ending, *, budget_left: bool
-    ) -> Verdict:
-        route = self._req.route
-        return decide(
-            attempt,
-            ending,
-            repeatable=route.repeatable,
-            body_replayable=self._req.body.replayable,
-            time_left=self._time_left_s() > MIN_TIME_LEFT_S
-            and self.attempts < route.max_attempts,
-            budget_left=budget_left,
-        )
-
-    def _budget_allows_retry(self, reason: str) -> bool:
-        """Return whether the retry budget allows another attempt; log if not.
-
-        `reason` is the code of why it is wanted.
-        """
-        budget = self._budget()
-        if budget.available():
-            return True
-        budget.refuse()
-        self._gateway.metrics.count("retries-refused.budget")
-        self._log.retry(self._service, reason, granted=False)
-        return False
-
     async def _deliver(self, run: AttemptRun, answer: Answer) -> None:
         try:
             await self._reply.deliver(run, answer)
@@ -480,16 +430,6 @@
                 "answer-broke-off", id=self._req.frame.request_id, why=exc.reason
             )
 
-    def _retry_server_error(self, verdict: Verdict) -> Verdict:
-        """Return RETRY after a response with status 500 or above if a retry is allowed.
-
-        If no other attempt is allowed, or the request must not run twice, return
-        `verdict`.
-        """
-        if self._req.route.repeatable and self._may_try_another(self._failure_reason):
-            return Verdict.RETRY
-        return verdict
-
 
 class _SupersededError(Exception):
     """The chosen server no longer allows the request just before its first byte.
