Charge an attempt to the retry budget only if an earlier one reached a server

Callers of a host without saved retries got 503 (connect-refused) when the first server refused the connection, though another one could take the request. The allowance counts what arrives at servers beyond the first; an attempt that could not connect does not arrive, so the one after it is no retry. Since budgets begin empty this showed after each restart.

--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -223,6 +223,7 @@
         self._superseded = False
         self._path_changed = False
         ran_before = self.may_have_run
+        reached_before = self._retries.reached_server
         ending = Ending.CANCELLED
         complete = False
         answer = None
@@ -236,6 +237,7 @@
             ending = Ending.BROKEN if exc.sent else Ending.CONNECT_FAILED
             if not exc.sent:
                 attempt.stage = Stage.NOT_SENT
+                self._retries.reached_server = reached_before
             elif run.lost:
                 self._repeated_request.connection_broke(server.entry)
         except _SupersededError:
@@ -334,6 +336,7 @@
         # From here on the server may have run the request, also if this attempt is
         # cancelled.
         self.may_have_run = True
+        self._retries.reached_server = True
         request_id = req.frame.request_id.encode("latin-1")
         if not req.body.complete:
             await run.send_rest()
--- a/lacewingcross/gateway/retry_decision.py
+++ b/lacewingcross/gateway/retry_decision.py
@@ -28,9 +28,22 @@
         Log of the request's attempts.
     has_server : callable
         Returns whether a server can take another attempt now.
+
+    Attributes
+    ----------
+    reached_server : bool
+        Whether an attempt has reached a server. Until then, a further attempt adds
+        nothing to the load of servers and costs nothing.
     """
 
-    __slots__ = ("_gateway", "_has_server", "_log", "_req", "_service")
+    __slots__ = (
+        "_gateway",
+        "_has_server",
+        "_log",
+        "_req",
+        "_service",
+        "reached_server",
+    )
 
     def __init__(
         self,
@@ -45,6 +58,7 @@
         self._log = log
         self._req = req
         self._service = service
+        self.reached_server = False
 
     def _budget(self) -> RetryBudget:
         budgets = self._gateway.steering.retry_budgets
@@ -56,9 +70,10 @@
 
     def spend(self, reason: str) -> None:
         """Pay for a retry; `reason` is the code of why the attempt before failed."""
-        self._budget().spend()
         self._gateway.metrics.count(f"retries.{reason}")
-        self._log.retry(self._service, reason, granted=True)
+        if self.reached_server:
+            self._budget().spend()
+            self._log.retry(self._service, reason, granted=True)
 
     def time_left(self) -> bool:
         """Return whether the deadline leaves room for another attempt."""
@@ -131,7 +146,7 @@
     def _budget_allows(self, reason: str) -> bool:
         """Return whether the retry budget allows another attempt; log if not."""
         budget = self._budget()
-        if budget.available():
+        if not self.reached_server or budget.available():
             return True
         budget.refuse()
         self._gateway.metrics.count("retries-refused.budget")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -515,3 +515,19 @@
         app.reload()
         await asyncio.sleep(0.1)
         assert app.gateway.cfg.bounds == expected
+
+
+@in_loop
+async def test_a_host_without_retries_goes_on_to_another_server_if_it_cannot_connect():
+    # Guards against requests that a host refuses although no server has got them yet.
+    async with fleet() as env:
+        env.configure()
+        env.register("dead", free_address())
+        good = await env.add_server(answers_at_once)
+        app = await env.ready(await env.add_host())
+        await until(lambda: len(app.gateway.steering.placement.known.servers) == 2)
+        for index in range(12):
+            got = await ask(app, "/safe/a", f"r{index}", key=str(index))
+            assert got.status == 200
+        assert len(good.requests) == 12
+        assert not app.gateway.metrics.counters["retries-refused.budget"]
