A host earns no retries before it knows its share

Before the first review of shares, each process took itself for the only host, and a first start would have begun with the saved retries of all. The new test failed before (42 retries).

--- a/lacewingcross/core/retry_budgets.py
+++ b/lacewingcross/core/retry_budgets.py
@@ -146,6 +146,10 @@
 
     Attributes
     ----------
+    allowance : RetryAllowance
+        As given, or as set later.
+    host_share : float
+        Share of what all hosts earn that this host has, 0 to 1.
     begin_full : bool
         Whether budgets begin with all that can be saved up. Only a process that has
         shared in the retries since the first start of the whole deployment may do so.
@@ -162,7 +166,8 @@
 
     def __init__(self, allowance: RetryAllowance, rng: RandomSource) -> None:
         self.begin_full = False
-        self.host_share = 1.0
+        # The host has no share until it is known how many share in the retries.
+        self.host_share = 0.0
         self.allowance = allowance
         self._budgets: dict[str, RetryBudget] = {}
         self._hosts = 1
@@ -224,6 +229,6 @@
         With more hosts than retries are kept back, hosts that earn alike would all send
         a retry at the same time. So their payments begin at random parts of a retry.
         """
-        if self.allowance.kept_back(self._hosts) == self._hosts:
-            return 0.0
-        return self._rng.uniform(0.0, 1.0)
+        if self.allowance.kept_back(self._hosts) < self._hosts:
+            return self._rng.uniform(0.0, 1.0)
+        return 0.0
--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -71,6 +71,14 @@
     assert spend_all(budgets_of(3, begin_full=True).of(SERVICE, 0.0)) > 0
 
 
+def test_a_host_that_does_not_know_its_share_has_none():
+    # Guards against a start in which each host takes itself for the only one.
+    budgets = RetryBudgets(ALLOWANCE, random.Random(1))
+    budgets.begin_full = True
+    budgets.of(SERVICE, 0.0)
+    assert spend_all(budgets.of(SERVICE, 5.0)) == 0
+
+
 def test_a_host_that_was_on_standby_begins_without_retries():
     # Guards against active hosts whose replacements bring the same retries again.
     budgets = budgets_of(3, begin_full=True)
