--- a/bench/soak/retries.py
+++ b/bench/soak/retries.py
@@ -39,9 +39,14 @@
     repeats: int
     requests: int
 
-    def excess(self, extra: float) -> float:
+    @property
+    def allowed(self) -> float:
+        """Return how many repeats are allowed."""
+        return RETRY_RATIO * self.requests + RETRY_EXTRA
+
+    def excess(self) -> float:
         """Return by how much the repeats exceed what is allowed, negative if not."""
-        return self.repeats - RETRY_RATIO * self.requests - extra
+        return self.repeats - self.allowed
 
 
 def _count(times: Sequence[float], begin: float) -> int:
@@ -78,10 +83,12 @@
         As in `windows`.
     """
     found = windows(requests, repeats)
-    return max(found, key=lambda window: window.excess(RETRY_EXTRA), default=None)
+    return max(found, key=Window.excess, default=None)
 
 
-def arrivals_of(ledger: "Ledger") -> tuple[dict[str, list[float]], ...]:
+def arrivals_of(
+    ledger: "Ledger",
+) -> tuple[dict[str, list[float]], dict[str, list[float]]]:
     """Return by service when requests were sent, and when repeats arrived, sorted."""
     requests: dict[str, list[float]] = defaultdict(list)
     for sent in ledger.sent.values():
@@ -103,7 +110,7 @@
     requests, repeats = arrivals_of(ledger)
     for service, times in repeats.items():
         worst = worst_window(requests[service], times)
-        if worst.excess(RETRY_EXTRA) > 0:
+        if worst.excess() > 0:
             text = f"{service}: {worst.repeats} repeats of {worst.requests} requests"
             found.append(Violation("BUDGET", worst.begin, text))
     return found
--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -36,7 +36,7 @@
         fleet.serve(rate, pause_s, failing=True, reached=reached)
         fleet.restart(share)
     fleet.serve(rate, 11.0, failing=True, reached=reached)
-    assert fleet.worst_window().excess(RETRY_EXTRA) <= 0, fleet.worst_window()
+    assert fleet.worst_window().excess() <= 0, fleet.worst_window()
 
 
 @pytest.mark.parametrize(("hosts", "most"), [(9, 0.8), (87, 0.5), (195, 0.5)])
@@ -45,10 +45,9 @@
     fleet = RetryFleet(hosts, random.Random(hosts))
     fleet.serve(60.0, 12.0, failing=False)
     fleet.serve(60.0, 12.0, failing=True)
-    assert fleet.worst_window().excess(RETRY_EXTRA) <= 0
+    assert fleet.worst_window().excess() <= 0
     busiest = max(fleet.windows(), key=lambda window: window.repeats)
-    allowed = busiest.repeats - busiest.excess(RETRY_EXTRA)
-    assert busiest.repeats >= most * allowed
+    assert busiest.repeats >= most * busiest.allowed
 
 
 def budgets_of(hosts, *, begin_full=False):
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -225,16 +225,16 @@
     allowed = int(RETRY_RATIO * 20 * RETRY_WINDOW_S + RETRY_EXTRA)
     repeats = [14.0] * (allowed + 1)
     window = worst_window(requests, repeats)
-    assert window.excess(RETRY_EXTRA) > 0
-    assert worst_window(requests, repeats[2:]).excess(RETRY_EXTRA) <= 0
+    assert window.excess() > 0
+    assert worst_window(requests, repeats[2:]).excess() <= 0
 
 
 def test_requests_of_the_window_before_allow_repeats():
     requests = [5.0] * 100
     repeats = [14.9] * int(RETRY_RATIO * 100 + RETRY_EXTRA)
-    assert worst_window(requests, repeats).excess(RETRY_EXTRA) <= 0
+    assert worst_window(requests, repeats).excess() <= 0
     later = [at + RETRY_WINDOW_S for at in repeats]
-    assert worst_window(requests, later).excess(RETRY_EXTRA) > 0
+    assert worst_window(requests, later).excess() > 0
 
 
 def test_a_fleet_that_does_not_recover_is_found():
