Review: uploads to workers that read slowly fill a host's memory

The host writes a large body to the server's connection without waiting for it to drain. It exceeds its memory limit, is killed, and cuts off bookings at other servers.

--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""An independent review: cases that show faults, and what they share."""
--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the review's scripts share."""
