Review: a host that shuts down discards the end of slowly read answers

The host aborts all connections 0.3 s after its last handler returned, also those whose answers still wait in the transport.

--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -50,6 +50,8 @@
         self.address = ""
         # Bytes a second that it reads of each body; 0 for as fast as they come.
         self.read_bytes_per_s = 0.0
+        # Size of its answers; a shorter text is filled up.
+        self.answer_bytes = 0
         # Ids of the requests that have reached it, with the time, and that it has run.
         self.arrived: dict[str, float] = {}
         self.ran: set[str] = set()
@@ -132,7 +134,7 @@
         finally:
             self._held -= 1
         self._record.note(f"ran id={request_id} worker={self.worker_id}")
-        content = f"{request_id} {size} {digest}"
+        content = f"{request_id} {size} {digest} ".ljust(self.answer_bytes, ".")
         self._answer(writer, 200, headers, {SIGNATURE: f"sig.{request_id}"}, content)
         await writer.drain()
         return True
