--- a/review/support/clients.py
+++ b/review/support/clients.py
@@ -52,8 +52,6 @@
         How long it waits for an answer.
     pause_s : float
         Pause between an answer and the next request.
-    wave_s : float
-        If not 0, all clients send at the same moments, this many seconds apart.
     """
 
     def __init__(
@@ -66,7 +64,6 @@
         *,
         deadline_ms: int = 2500,
         pause_s: float = 0.05,
-        wave_s: float = 0.0,
     ) -> None:
         self.seen: list[Seen] = []
         self._record = record
@@ -76,7 +73,6 @@
         self._path = path
         self._deadline_ms = deadline_ms
         self._pause_s = pause_s
-        self._wave_s = wave_s
 
     async def run(self) -> None:
         """Send requests until cancelled; connect again whenever that is needed."""
@@ -90,15 +86,10 @@
                 kept = False
                 while await self._ask(reader, writer, kept=kept):
                     kept = True
-                    await self._pause()
+                    await asyncio.sleep(self._pause_s)
             finally:
                 writer.transport.abort()
-            await self._pause()
-
-    async def _pause(self) -> None:
-        await asyncio.sleep(self._pause_s)
-        if self._wave_s:
-            await asyncio.sleep(self._wave_s - self._record.now() % self._wave_s)
+            await asyncio.sleep(self._pause_s)
 
     async def _ask(
         self,
