--- a/review/rig/caller.py
+++ b/review/rig/caller.py
@@ -41,11 +41,12 @@
         size: int = 0,
         rate: float = 0.0,
         request_id: str = "",
+        key: str = "",
     ) -> Answer:
         """Send a request and wait for its answer until the deadline.
 
         `size` is the length of the body, and `rate` the bytes a second at which it is
-        sent; 0 for as fast as the host reads.
+        sent; 0 for as fast as the host reads. `key` is the affinity key, if any.
         """
         request_id = request_id or f"q{next(_ids):05d}"
         try:
@@ -55,7 +56,7 @@
                     self._reader, self._writer = await asyncio.open_connection(
                         host, int(port)
                     )
-                self._write_head(method, path, deadline_s, size, request_id)
+                self._write_head(method, path, deadline_s, size, request_id, key)
                 await self._write_body(size, rate)
                 return await self._read(request_id)
         except TimeoutError:
@@ -66,7 +67,13 @@
             return Answer(request_id, 0, {}, b"", repr(exc))
 
     def _write_head(
-        self, method: str, path: str, deadline_s: float, size: int, request_id: str
+        self,
+        method: str,
+        path: str,
+        deadline_s: float,
+        size: int,
+        request_id: str,
+        key: str,
     ) -> None:
         lines = [
             f"{method} {path} HTTP/1.1",
@@ -74,6 +81,8 @@
             f"X-Lacewingcross-Request-Id: {request_id}",
             f"X-Lacewingcross-Request-Deadline: {int(deadline_s * 1000)}",
         ]
+        if key:
+            lines.append(f"X-Lacewingcross-Affinity-Key: {key}")
         if size:
             lines.append(f"Content-Length: {size}")
         self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
--- a/review/rig/worker.py
+++ b/review/rig/worker.py
@@ -30,12 +30,14 @@
     ----------
     part_bytes : int
         Bytes of a body that it sends at a time, every `PART_EVERY_S`; 0 for all.
+    queue : int or None
+        How many requests may wait for a slot; further ones are rejected as not run.
     read_pause_s : float
         Pause before each further 64 KiB of a body are read, in seconds.
     runs : list of (float, str)
         Time and id of each request that it began to work on.
-    on_run : callable
-        Called with the id of each request that it begins to work on.
+    on_run, on_reject : callable
+        Called with the id of each request that it begins to work on, or rejects.
     """
 
     def __init__(
@@ -55,11 +57,14 @@
         self.answer_bytes = answer_bytes
         self.slots = slots
         self.part_bytes = 0
+        self.queue: int | None = None
+        self._waiting = 0
         self.read_pause_s = 0.0
         self.draining = False
         self.runs: list[tuple[float, str]] = []
         self.bodies: dict[str, int] = {}
         self.on_run: Callable[[str], None] = lambda request_id: None
+        self.on_reject: Callable[[str], None] = lambda request_id: None
         self.address = ""
         self._free = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
@@ -119,12 +124,24 @@
             writer.write(self._head(421, request_id, 0, not_run=True))
             return True
         size = await self._read_body(reader, fields)
-        async with self._free:
+        full = self.queue is not None and self._waiting >= self.queue
+        if full and self._free.locked():
+            self.on_reject(request_id)
+            writer.write(self._head(503, request_id, 0, not_run=True))
+            return True
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        try:
             self.runs.append((self.record.now(), request_id))
             self.bodies[request_id] = size
             self.on_run(request_id)
             self.record.add(f"{self.server_id} runs {request_id}, body {size} bytes")
             await asyncio.sleep(self.work_s)
+        finally:
+            self._free.release()
         body = (request_id.encode() + b" ") * (
             self.answer_bytes // (len(request_id) + 1) + 1
         )
