--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,31 +1,49 @@
-"""A planned stop cuts bookings that the leaving host still accepted."""
+"""One entry of another writer makes hosts drop connections without an answer."""
 
 import asyncio
+import itertools
+import json
 import os
-import signal
+import random
+import time
 from pathlib import Path
 
+from lacewingcross.http1_exchange import Exchange
+from lacewingcross.http1_json import JSON_TYPE
+from lacewingcross.standins.object_store import ObjectStoreStandin
 from review.rig.caller import Answer, Caller
 from review.rig.deployment import Deployment, Record, manifest, route, run_case
 from review.rig.worker import Worker
 
 ZONES = {"z-a": "r-1", "z-b": "r-2"}
 TROUBLE = os.environ.get("TROUBLE") != "0"
-# Bounds of `gvea-museos-large`, as far as a planned stop depends on them.
-BOUNDS = {"grace_s": 10, "drain_s": 4, "config_apply_s": 4}
-# How long a host has run before its planned stop, in seconds; `stable_window_s` is 4.
+# How long the hosts have run before requests are sent, in seconds; `stable_window_s`
+# is 4.
 CALM_S = 6.0
-# Work and time budget of a booking, in seconds: `reserva` takes 6.912 s at most, and
-# its callers wait for 10 s.
-WORK_S = 6.8
-BUDGET_S = 10.0
-# When bookings are sent, in seconds after the SIGTERM. The rule does not count those
-# that were sent up to 3 s after it and whose worker is at work near the end; 20 ms are
-# left for the clock of the test.
-UNCOUNTED_S = 3.02
-CALLERS = 30
-FIRST_AT_S = 2.0
-STEP_S = 0.05
+PLAY_S = 40.0
+BUDGET_S = 2.5
+# Work of a booking, and slots and queue of a worker.
+WORK_S = 0.3
+SLOTS = 3
+QUEUE = 2
+# Callers, each on a connection that it keeps, and their pause before a wave, in
+# seconds. A wave is more than the workers take, so that they reject a part of it.
+CALLERS = 60
+PAUSE_S = 1.5
+SPREAD_S = 0.2
+KEYS = 24
+# What stands for the bytes of the other writer until the store sends them.
+PLACE = "unreadable-bytes"
+UNREADABLE = b"\xff\xfe\xfd"
+LOST_ALLOWED = 3
+
+
+class Store(ObjectStoreStandin):
+    """The project's stand-in, whose answers hold the other writer's bytes as stored."""
+
+    async def _send(self, exchange: Exchange, status: int, data: object) -> None:
+        body = json.dumps(data).encode().replace(PLACE.encode(), UNREADABLE)
+        await exchange.respond(status, [*JSON_TYPE], body)
 
 
 class Case:
@@ -33,24 +51,33 @@
 
     def __init__(self) -> None:
         self.record = Record(Path(__file__).with_name("record.txt"))
-        self.deployment = Deployment(self.record, ZONES, BOUNDS)
+        self.deployment = Deployment(self.record, ZONES)
+        self.deployment.store = Store(time.monotonic, era=None)
         self.workers = [
-            Worker(self.record, "ledger", zone, WORK_S, slots=5)
+            Worker(self.record, "ledger", zone, WORK_S, slots=SLOTS)
             for zone in ZONES
-            for _ in range(6)
+            for _ in range(2)
         ]
-        self.ran: set[str] = set()
-        self.sent_at: dict[str, float] = {}
+        # Requests that reached a worker, with what it did with them.
+        self.reached: dict[str, str] = {}
         self.answers: list[Answer] = []
+        self.ends_at = 0.0
+        self._numbers = itertools.count(1)
 
     async def run(self) -> bool:
         """Return whether the rule LOST was broken."""
+        store = self.deployment.store
         for worker in self.workers:
             await worker.start()
-            worker.on_run = self.ran.add
-            self.deployment.store.put("servers", worker.server_id, worker.entry())
+            worker.queue = QUEUE
+            worker.on_run = lambda request_id: self._note(request_id, "ran")
+            worker.on_reject = lambda request_id: self._note(request_id, "rejected")
+            store.put("servers", worker.server_id, worker.entry())
+        if TROUBLE:
+            entry = {**self.workers[0].entry(), "address": f"{PLACE}:8080"}
+            store.put("servers", "i-other", entry)
         routes = {"booking": route("ledger", "unsafe", "/booking/", BUDGET_S)}
-        self.deployment.store.put("config", "main", manifest(1, routes, ["ledger"]))
+        store.put("config", "main", manifest(1, routes, ["ledger"]))
         try:
             await self.deployment.start(["z-a", "z-a", "z-b"])
             return await self._play()
@@ -59,36 +86,42 @@
             for worker in self.workers:
                 await worker.stop()
 
+    def _note(self, request_id: str, what: str) -> None:
+        self.reached[request_id] = what
+
     async def _play(self) -> bool:
         await asyncio.sleep(CALM_S)
-        host = self.deployment.hosts[0]
-        if TROUBLE:
-            self.deployment.signal(host, signal.SIGTERM)
-        began_at = self.record.now()
-        await asyncio.gather(*(self._book(i, began_at) for i in range(CALLERS)))
-        lost = []
-        for answer in self.answers:
-            sent_s = self.sent_at[answer.request_id] - began_at
-            self.record.add(
-                f"booking {answer.request_id} sent {sent_s:.3f} s after the stop began:"
-                f" status {answer.status} {answer.why}"
-            )
-            ran = answer.request_id in self.ran
-            if answer.status == 0 and ran and sent_s > UNCOUNTED_S:
-                lost.append(answer)
-        self.record.add(f"bookings {len(self.answers)}, lost and counted {len(lost)}")
-        return bool(lost)
-
-    async def _book(self, index: int, began_at: float) -> None:
-        """Send one booking on a new connection, at its time after the SIGTERM."""
-        due_at = began_at + FIRST_AT_S + index * STEP_S
-        await asyncio.sleep(due_at - self.record.now())
-        caller = Caller(self.deployment.hosts[0].front)
-        request_id = f"b{index:02d}"
-        self.sent_at[request_id] = self.record.now()
-        self.answers.append(
-            await caller.ask("POST", "/booking/1", BUDGET_S, 300, request_id=request_id)
+        self.ends_at = self.record.now() + PLAY_S
+        await asyncio.gather(*(self._call(index) for index in range(CALLERS)))
+        closed = [answer for answer in self.answers if answer.status == 0]
+        lost = [answer for answer in closed if answer.request_id in self.reached]
+        for answer in lost:
+            what = self.reached[answer.request_id]
+            self.record.add(f"lost: {answer.request_id}, {what}, {answer.why}")
+        self.record.add(
+            f"bookings {len(self.answers)}, closed without an answer {len(closed)},"
+            f" of these passed on to a worker {len(lost)}"
         )
+        return len(lost) > LOST_ALLOWED
+
+    async def _call(self, index: int) -> None:
+        """Send bookings in waves on a kept connection."""
+        host = self.deployment.hosts[index % len(self.deployment.hosts)]
+        rng = random.Random(index)
+        caller = Caller(host.front)
+        while self.record.now() < self.ends_at:
+            wait_s = PAUSE_S - self.record.now() % PAUSE_S
+            await asyncio.sleep(wait_s + rng.uniform(0.0, SPREAD_S))
+            number = next(self._numbers)
+            answer = await caller.ask(
+                "POST",
+                f"/booking/{number}",
+                BUDGET_S,
+                300,
+                key=str(rng.randrange(KEYS)),
+                request_id=f"b{number:05d}",
+            )
+            self.answers.append(answer)
         caller.close()
 
 
--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -12,6 +12,7 @@
 import time
 import tomllib
 import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from lacewingcross.standins.object_store import ObjectStoreStandin
@@ -45,6 +46,8 @@
 }
 READY_WITHIN_S = 20.0
 
+Case = Callable[[], Awaitable[bool]]
+
 
 class Record:
     """The lines of `record.txt`.
@@ -251,11 +254,18 @@
     }
 
 
-def run_case(case) -> None:
+async def _stoppable(case: Case) -> bool:
+    """Run a case; a SIGTERM cancels it, so that it ends what it has started."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await case()
+
+
+def run_case(case: Case) -> None:
     """Run a case and exit with 1 if it returns True, 0 if False, 2 if it fails."""
     try:
-        broken = asyncio.run(case())
-    except Exception:
+        broken = asyncio.run(_stoppable(case))
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         sys.exit(2)
     sys.exit(1 if broken else 0)
