--- a/review/5/case.py
+++ b/review/5/case.py
@@ -88,6 +88,8 @@
 
     def _note(self, request_id: str, what: str) -> None:
         self.reached[request_id] = what
+        if what == "rejected":
+            self.record.add(f"{request_id} is rejected by a worker")
 
     async def _play(self) -> bool:
         await asyncio.sleep(CALM_S)
@@ -113,14 +115,17 @@
             wait_s = PAUSE_S - self.record.now() % PAUSE_S
             await asyncio.sleep(wait_s + rng.uniform(0.0, SPREAD_S))
             number = next(self._numbers)
+            request_id = f"b{number:05d}"
+            self.record.add(f"{request_id} sent to {host.host_id}")
             answer = await caller.ask(
                 "POST",
                 f"/booking/{number}",
                 BUDGET_S,
                 300,
                 key=str(rng.randrange(KEYS)),
-                request_id=f"b{number:05d}",
+                request_id=request_id,
             )
+            self.record.add(f"{request_id} answered {answer.status} {answer.why}")
             self.answers.append(answer)
         caller.close()
 
