Run the tests in four processes, file by file

The parameters with a port drawn at random get fixed ids, since all processes have to collect the same tests.

--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,10 @@
 demo: $(STAMP)
 	$(BIN)/python -m lacewingcross demo
 
+# All tests of a file run in one process, one after the other.
+TEST_PROCESSES ?= 4
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/tests/test_messages_command.py
+++ b/tests/test_messages_command.py
@@ -51,6 +51,7 @@
         ("https://10.1.0.34:9464/metrics", "bad-address"),
         (f"http://127.0.0.1:{free_port()}/metrics", "unavailable"),
     ],
+    ids=["no scheme", "other scheme", "no listener"],
 )
 def test_a_page_that_cannot_be_had_is_a_coded_error(url, code):
     with pytest.raises(UserError) as caught:
