Test: wait for each crash before the next copy is sent

Cause: crash_three slept 0.1 s between copies of the popular request, so that the hosts learn of each crash meanwhile. Beside load they learnt of the first one after 0.19 s, the next copy went to the server that had crashed and then to the holder, and only two servers crashed. The test then waited 10 s for a third one, longer than the held copy's server may be silent, and the held copy was answered 502. Change: the test waits until each host knows of each crash.

--- a/tests/test_cleared_quarantines.py
+++ b/tests/test_cleared_quarantines.py
@@ -68,7 +68,7 @@
     for index in range(3):
         if len(servers.ends) < 3:
             await ask(apps[1 + index], POPULAR, f"copy-{index}")
-            await asyncio.sleep(0.1)
+            await all_know(apps, servers)
     await until(lambda: env.store.creations[KIND])
     return held
 
