An entry with an unreadable address costs no request its answer

Cause: any text before the last colon counted as the address of a server, so such an entry became a server, always idle. Connecting there raised an exception that nobody expected (UnicodeError, OverflowError); it ended the request as a fault of the host, and passive health learnt nothing, so the entry was chosen again and again.

Change: an address is an IP address and a port, for servers and hosts, from the store, a greeting or another host's report; ids, services and domains are printable texts, numbers are bounded. Whatever keeps a connection from opening is a failed connection. Any other fault before the first byte is an attempt that was not sent, counts against that server, and the request goes on; with no other server left it is answered 503 as not run, or 502 if it may have run. A carried request likewise.

Why it works: the entry names no server any more, and a fault that is not yet known can neither take a caller's answer nor draw request after request to one server.

--- a/lacewingcross/checks.py
+++ b/lacewingcross/checks.py
@@ -6,6 +6,9 @@
 from .errors import UserError
 
 REQUIRED = object()
+MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+MAX_LABEL_CHARS = 253
 
 
 class Reader:
@@ -185,11 +188,34 @@
 def is_address(value: str) -> bool:
     """Return whether `value` is an IP address, a colon and a port number."""
     host, _, port = value.rpartition(":")
+    if "%" in host:
+        # A zone id belongs to one machine, and any text is accepted for one.
+        return False
     try:
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and int(port) < 65536
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    return is_number and int(port) <= MAX_PORT
+
+
+def is_remote_address(value: str) -> bool:
+    """Return whether `value` is an address to which a connection can be opened."""
+    return is_address(value) and split_address(value)[1] > 0
+
+
+def is_label(value: object) -> bool:
+    """Return whether `value` is a name that another program may have chosen.
+
+    A label has 1 to `MAX_LABEL_CHARS` printable characters, and no space at its ends.
+    So it is safe in logs, metrics and messages.
+    """
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= MAX_LABEL_CHARS
+        and value.isprintable()
+        and value == value.strip()
+    )
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/lacewingcross/gateway/attempt_feedback.py
+++ b/lacewingcross/gateway/attempt_feedback.py
@@ -8,6 +8,7 @@
 from .attempt import MISDIRECTED, Answer, was_full
 from .backend_connection import REFUSED, UNREACHABLE
 from .context import Gateway
+from .faults import INTERNAL_ERROR
 from .paces import reported_factor
 from .paths.reasons import HOST_REASONS
 
@@ -103,6 +104,9 @@
     elif ending is Ending.CONNECT_FAILED and result.failure_reason in CONNECT_FAILURES:
         health.unreachable(result.attempt_id, now)
         _check_path(gateway, choice, result)
+    elif result.failure_reason == INTERNAL_ERROR and not result.caller_gone:
+        # Perhaps this server alone causes the fault, so others are tried first.
+        health.failed(result.attempt_id, now)
     elif ending is Ending.CONNECT_FAILED or result.caller_gone:
         health.abandoned(result.attempt_id)
     elif ending in (Ending.TIMED_OUT, Ending.CANCELLED):
--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -10,6 +10,7 @@
 from ..core.placement.placement_types import Choice, PlacementRequest, Refusal
 from ..core.silence.answer_wait import AnswerWait
 from ..http1_client import HttpError, ResponseHead
+from ..http1_exchange import CallerGoneError
 from .attempt import (
     Answer,
     AttemptRun,
@@ -20,6 +21,7 @@
 from .attempt_feedback import AttemptResult, record_result
 from .attempt_log import AttemptLog
 from .context import Gateway
+from .faults import INTERNAL_ERROR, note_fault
 from .forwarding import request_for_server
 from .paths.reasons import HOST_REASONS, SILENT_SERVER
 from .repeats import RepeatedRequest
@@ -263,6 +265,14 @@
             self._failure_reason = SILENT_SERVER
             run.failed(SILENT_SERVER)
             ending = Ending.TIMED_OUT
+        except CallerGoneError:
+            raise
+        except Exception as exc:
+            # A fault of this host must not cost the request its answer.
+            self._failure_reason = INTERNAL_ERROR
+            note_fault(self._gateway.metrics, self._req.frame.request_id, exc)
+            not_sent = attempt.stage is Stage.NOT_SENT
+            ending = Ending.CONNECT_FAILED if not_sent else Ending.BROKEN
         finally:
             attempt.end(ending)
             ran = attempt.stage in (Stage.UNKNOWN, Stage.ANSWERED)
@@ -281,7 +291,12 @@
             self._log.superseded(attempt, self._time_left_s())
             self._gateway.metrics.count("attempts.overtaken")
             return self._undo_attempt(attempt)
-        if ending is Ending.CONNECT_FAILED and self._changes_path(choice):
+        is_fault = self._failure_reason == INTERNAL_ERROR
+        if (
+            ending is Ending.CONNECT_FAILED
+            and not is_fault
+            and self._changes_path(choice)
+        ):
             self._log.path_changed(attempt, choice.path, self._failure_reason)
             verdict = self._undo_attempt(attempt)
             about_host = self._failure_reason in HOST_REASONS
--- a/lacewingcross/gateway/backend_connection.py
+++ b/lacewingcross/gateway/backend_connection.py
@@ -74,14 +74,15 @@
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> "BackendConnection":
         """Connect; raise HttpError with ``sent=False`` when that fails."""
-        host, port = split_address(address)
         loop = asyncio.get_running_loop()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(timeout_s):
                 _, conn = await loop.create_connection(cls, host, port)
         except ConnectionRefusedError as exc:
             raise HttpError(REFUSED, sent=False, detail=repr(exc)) from exc
-        except (OSError, TimeoutError) as exc:
+        except Exception as exc:
+            # Whatever keeps a connection from opening, the server cannot be reached.
             raise HttpError(UNREACHABLE, sent=False, detail=repr(exc)) from exc
         return conn
 
--- a/lacewingcross/gateway/gossip_receiver.py
+++ b/lacewingcross/gateway/gossip_receiver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from .. import logs
 from ..core import messages as msg
@@ -12,7 +12,7 @@
 from ..core.roster import ALIVE_INTERVAL_S, PeerView
 from ..core.store_position import START, StorePosition
 from ..errors import FrameError, UserError
-from ..greeting import host_of
+from ..greeting import host_of, invalid_host
 from ..sockets import set_silence_timeout
 from ..wire import read_message
 from .context import Gateway
@@ -231,8 +231,7 @@
         self, info: HostInfo, message: msg.KnownHosts, now: float
     ) -> None:
         roster = self._gateway.roster
-        hosts = [member_info(fields) for fields in message.hosts]
-        by_id = {host.host_id: host for host in hosts}
+        by_id = {host.host_id: host for host in self._valid_hosts(info, message)}
         roster.take_peer_view(
             info.host_id,
             PeerView(message.active, by_id, frozenset(message.starting)),
@@ -240,6 +239,29 @@
         )
         self._gateway.hosts_changed()
 
+    def _valid_hosts(
+        self, sender: HostInfo, message: msg.KnownHosts
+    ) -> Iterator[HostInfo]:
+        """Yield the hosts that another host reports; an invalid one is logged instead.
+
+        A host that is known with the same fields was checked before.
+        """
+        entries = self._gateway.roster.entries
+        for fields in message.hosts:
+            host = member_info(fields)
+            known = entries.get(host.host_id)
+            expected = "" if known and known.info == host else invalid_host(host)
+            if not expected:
+                yield host
+                continue
+            logs.event(
+                "reported-host-rejected",
+                "ERROR",
+                host_id=host.host_id,
+                source=sender.host_id,
+                why=expected,
+            )
+
     def _handle_changes(
         self, info: HostInfo, message: msg.StoreChanges, now: float
     ) -> None:
--- a/lacewingcross/gateway/paths/carrier.py
+++ b/lacewingcross/gateway/paths/carrier.py
@@ -23,6 +23,7 @@
 from ...wire import encode, read_message
 from ..backend_connection import REFUSED, UNREACHABLE, BackendConnection
 from ..context import Gateway
+from ..faults import INTERNAL_ERROR, note_fault
 from ..signals import record_signals
 from .reasons import LEAVING, NO_PATH, NO_ROOM, NOT_ALLOWED, UNKNOWN_SERVER
 
@@ -238,6 +239,14 @@
         except TimeoutError:
             self._fail(writer, "timed-out")
             return "timed-out"
+        except (OSError, FrameError):
+            # The stream of the other host is broken.
+            raise
+        except Exception as exc:
+            request_id = hd.find(self._request.headers, ph.REQUEST_ID)
+            note_fault(self._gateway.metrics, request_id, exc)
+            self._fail(writer, INTERNAL_ERROR)
+            return INTERNAL_ERROR
         return "answered"
 
     def _fail(self, writer: asyncio.StreamWriter, reason: str) -> None:
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -13,6 +13,7 @@
 from .attempt import CallerBody
 from .attempt_series import READ_AHEAD_BYTES, AttemptSeries
 from .context import Gateway
+from .faults import INTERNAL_ERROR, note_fault
 from .frame import Frame, FrameError, read_frame
 from .reply import HostAnswer, Reply
 from .routed_request import RoutedRequest
@@ -20,6 +21,9 @@
 # Callers stop waiting at their deadline. Answers are sent this much earlier to arrive
 # in time, in seconds. The one-way network delay to a caller is a few milliseconds.
 DEADLINE_MARGIN_S = 0.01
+# Retry-After of a request that a fault of this host has ended, in seconds. Another host
+# may serve it.
+FAULT_RETRY_S = 0.1
 
 
 class RequestRun:
@@ -88,6 +92,9 @@
                 await self._serve(req)
         except CallerGoneError:
             self._reply.log_end("caller-gone")
+        except Exception as exc:
+            note_fault(self._gateway.metrics, frame.request_id, exc)
+            await self._reply.finish(self._fault_answer())
         except asyncio.CancelledError:
             if not self._series.caller_gone:
                 raise
@@ -174,6 +181,12 @@
         if isinstance(host_answer, HostAnswer):
             await self._reply.finish(host_answer)
 
+    def _fault_answer(self) -> HostAnswer:
+        """Return the answer to a request that a fault of this host has ended."""
+        if self._series.may_have_run:
+            return HostAnswer(502, INTERNAL_ERROR)
+        return HostAnswer(503, INTERNAL_ERROR, FAULT_RETRY_S)
+
     def _timeout_answer(self, req: RoutedRequest) -> HostAnswer:
         """Return the answer to a request whose deadline has passed.
 
--- a/lacewingcross/greeting.py
+++ b/lacewingcross/greeting.py
@@ -1,6 +1,6 @@
-"""Validate the hello, the first message that a host sends on a connection."""
+"""Validate what a host says of itself, or another program says of a host."""
 
-from .checks import is_address, is_name
+from .checks import is_name, is_remote_address
 from .core import messages as msg
 from .core.membership import HostInfo
 from .errors import FrameError
@@ -26,19 +26,7 @@
         raise FrameError(
             "bad-protocol", f"expected protocol {PROTOCOL}, got {hello.protocol}"
         )
-    names = (hello.host_id, hello.region, hello.failure_domain)
-    if not all(is_name(name) for name in names):
-        raise FrameError(
-            "bad-hello", "expected names for host, region and failure domain"
-        )
-    if not (is_address(hello.entry) and is_address(hello.peer)):
-        raise FrameError("bad-hello", "expected addresses like 127.0.0.1:8080")
-    if not 0 < hello.cores < MAX_CORES:
-        raise FrameError(
-            "bad-hello",
-            f"expected a plausible number of cores above 0, got {hello.cores}",
-        )
-    return HostInfo(
+    info = HostInfo(
         hello.host_id,
         hello.region,
         hello.failure_domain,
@@ -46,3 +34,23 @@
         hello.peer,
         cores=hello.cores,
     )
+    expected = invalid_host(info)
+    if expected:
+        raise FrameError("bad-hello", f"expected {expected}")
+    return info
+
+
+def invalid_host(info: HostInfo) -> str:
+    """Return what was expected of a host's fields, empty if all of them are valid.
+
+    Every host that another program describes is checked here: in a greeting, in the
+    list of the store, and in what other hosts report.
+    """
+    names = (info.host_id, info.region, info.failure_domain)
+    if not all(is_name(name) for name in names):
+        return "names for host, region and failure domain"
+    if not (is_remote_address(info.entry) and is_remote_address(info.peer)):
+        return "addresses like 127.0.0.1:8080"
+    if not 0 < info.cores < MAX_CORES:
+        return f"a plausible number of cores above 0, got {info.cores:g}"
+    return ""
--- a/lacewingcross/logs.py
+++ b/lacewingcross/logs.py
@@ -4,8 +4,10 @@
 import os
 import signal
 import sys
+import traceback
 from collections import deque
 from collections.abc import Callable
+from pathlib import Path
 from typing import TextIO
 
 from loguru import logger
@@ -14,11 +16,15 @@
 # How long lines are collected, in seconds, to be written with one system call.
 FLUSH_S = 0.05
 MAX_BATCH_LINES = 500
+# Longer values are cut, so that one object of another program cannot fill the log.
+MAX_VALUE_CHARS = 4000
 _NEEDS_QUOTES = frozenset(' "=\n\t')
 
 
 def _format_value(value: object) -> str:
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
+    if len(text) > MAX_VALUE_CHARS:
+        text = text[:MAX_VALUE_CHARS] + "..."
     if not text or any(char in _NEEDS_QUOTES for char in text):
         text = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
         return f'"{text}"'
@@ -184,3 +190,11 @@
     parts = [f"event={name}"]
     parts.extend(f"{key}={_format_value(val)}" for key, val in pairs.items())
     logger.opt(raw=False).log(level, "{}", " ".join(parts))
+
+
+def place_of(exc: BaseException) -> str:
+    """Return where an exception was raised, as ``module:line``."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    if not frames:
+        return "unknown"
+    return f"{Path(frames[-1].filename).stem}:{frames[-1].lineno}"
--- a/lacewingcross/platform/objects.py
+++ b/lacewingcross/platform/objects.py
@@ -1,14 +1,16 @@
 """Decodes the objects of the platform's store into the project's types."""
 
-from math import inf
+import contextlib
+from collections.abc import Iterator
+from math import isfinite
 
-from ..checks import split_address
+from ..checks import is_label, is_remote_address
 from ..core.accounts import Accounts, ClientAccount
 from ..core.backend_state import ServerEntry
 from ..core.quotas.bound import Quota
 from ..core.replica import Kind
 from ..core.routes import CallerLimits, Configuration, Part, Route, Service
-from ..errors import PlatformError
+from ..errors import PlatformError, UserError
 
 # Kinds in the paths of the object API.
 KIND_PATHS = {
@@ -21,6 +23,10 @@
 CONFIG_NAME = "main"
 # Whether a backend server is draining, by the state in its entry.
 DRAINING_BY_STATE = {"ready": False, "draining": True}
+# Largest whole number that an entry may hold: what a double represents exactly.
+MAX_INTEGER = 2**53
+# No server runs this many requests at a time; more is an error of the writer.
+MAX_SLOTS = 100_000
 
 
 def decode_configuration(spec: object) -> Configuration:
@@ -33,7 +39,7 @@
     AccountError
         When two accounts have the same API key.
     """
-    try:
+    with _decoding("configuration"):
         services = {
             name: _service(name, data) for name, data in spec["services"].items()
         }
@@ -45,38 +51,56 @@
             _limits(spec),
             _accounts(spec),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        raise PlatformError("bad-object", f"configuration: {exc!r}") from exc
+
+
+@contextlib.contextmanager
+def _decoding(what: str) -> Iterator[None]:
+    """Turn any failure in the block into a `PlatformError` with code ``bad-object``.
+
+    Any program may have stored any value, so any step of a decoder may fail on it.
+    """
+    try:
+        yield
+    except UserError:
+        raise
+    except Exception as exc:
+        raise PlatformError("bad-object", f"{what:.80}: {repr(exc)[:200]}") from exc
 
 
 def _service(name: str, data: dict) -> Service:
     return Service(
         name,
         data.get("health_path") or "/health",
-        int(data.get("max_connections") or 100),
-        float(data.get("cold_start_s") or 0.0),
-        float(data.get("cold_per_s") or 0.0),
+        int(_number(data, "max_connections", 100)),
+        _number(data, "cold_start_s", 0.0),
+        _number(data, "cold_per_s", 0.0),
     )
 
 
+def _number(data: dict, field: str, default: float) -> float:
+    """Return a number of 0 or more; `default` if it is missing or 0."""
+    return _non_negative(data, field) if data.get(field) else default
+
+
 def _route(name: str, data: dict) -> Route:
     if data.get("traffic_split"):
         parts = tuple(
-            Part(item["service"], float(item["weight"]))
+            Part(item["service"], _non_negative(item, "weight"))
             for item in data["traffic_split"]
         )
     else:
         parts = (Part(data["service"], 1.0),)
+    timeout_s = _non_negative(data, "timeout_s")
     return Route(
         name=name,
         host_name=data["host"].lower(),
         prefix=data["path_prefix"],
         repeatable=data["route_type"] == "safe",
         parts=parts,
-        timeout_s=float(data["timeout_s"]),
-        target_s=float(data.get("target_latency_s") or data["timeout_s"]),
-        max_attempts=int(data.get("max_attempts") or 1),
-        priority=int(data.get("priority") or 0),
+        timeout_s=timeout_s,
+        target_s=_number(data, "target_latency_s", timeout_s),
+        max_attempts=int(_number(data, "max_attempts", 1)),
+        priority=int(_number(data, "priority", 0)),
         affinity=bool(data.get("affinity")),
         home_regions=frozenset(data.get("home_regions") or ()),
         public=bool(data.get("public")),
@@ -106,8 +130,8 @@
 
 
 def _quota(data: dict) -> Quota | None:
-    rate = _non_negative(data, "rate_per_s") if data.get("rate_per_s") else 0.0
-    burst = _non_negative(data, "burst") if data.get("burst") else 0.0
+    rate = _number(data, "rate_per_s", 0.0)
+    burst = _number(data, "burst", 0.0)
     return Quota(rate, burst) if rate else None
 
 
@@ -115,10 +139,10 @@
     data = spec.get("limits") or {}
     default = CallerLimits()
     return CallerLimits(
-        int(data.get("max_header_bytes") or default.max_header_bytes),
-        int(data.get("max_body_bytes") or default.max_body_bytes),
-        float(data.get("header_timeout_s") or default.header_timeout_s),
-        float(data.get("idle_timeout_s") or default.idle_timeout_s),
+        int(_number(data, "max_header_bytes", default.max_header_bytes)),
+        int(_number(data, "max_body_bytes", default.max_body_bytes)),
+        _number(data, "header_timeout_s", default.header_timeout_s),
+        _number(data, "idle_timeout_s", default.idle_timeout_s),
     )
 
 
@@ -140,37 +164,49 @@
         With code ``bad-object`` when a field is missing, of the wrong type or out of
         range, or when the state is not one that the platform defines.
     """
-    try:
-        entry = ServerEntry(
-            server_id=name,
-            service=_non_empty_string(spec, "service"),
-            address=_non_empty_string(spec, "address"),
-            failure_domain=_non_empty_string(spec, "zone"),
-            slots=_integer(spec, "slots", minimum=1),
-            draining=DRAINING_BY_STATE[_non_empty_string(spec, "state")],
+    with _decoding(f"server {name}"):
+        return ServerEntry(
+            server_id=_header_safe(name),
+            service=_label(spec, "service"),
+            address=_address(spec, "address"),
+            failure_domain=_label(spec, "zone"),
+            slots=_integer(spec, "slots", minimum=1, maximum=MAX_SLOTS),
+            draining=DRAINING_BY_STATE[_label(spec, "state")],
             cold_left_s=_non_negative(spec, "cold_left_s"),
             # Start of the server in Unix milliseconds; older versions do not send it.
             born_ms=_integer(spec, "born") if "born" in spec else 0,
         )
-        split_address(entry.address)
-    except (KeyError, TypeError, ValueError) as exc:
-        raise PlatformError("bad-object", f"server {name}: {exc!r}") from exc
-    return entry
 
 
-def _non_empty_string(spec: dict, field: str) -> str:
+def _header_safe(name: str) -> str:
+    """Return the id of a server, which is sent to it in a header."""
+    if not is_label(name) or not name.isascii():
+        raise ValueError(f"id: expected printable ASCII, got {name!r:.80}")
+    return name
+
+
+def _label(spec: dict, field: str) -> str:
+    value = spec[field]
+    if not is_label(value):
+        raise ValueError(f"{field}: expected a printable string, got {value!r:.80}")
+    return value
+
+
+def _address(spec: dict, field: str) -> str:
     value = spec[field]
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"{field}: expected a non-empty string, got {value!r:.80}")
+    if not isinstance(value, str) or not is_remote_address(value):
+        raise ValueError(f"{field}: expected an address, got {value!r:.80}")
     return value
 
 
-def _integer(spec: dict, field: str, minimum: int = 0) -> int:
+def _integer(
+    spec: dict, field: str, minimum: int = 0, maximum: int = MAX_INTEGER
+) -> int:
     value = spec[field]
     if not isinstance(value, int) or isinstance(value, bool):
         raise TypeError(f"{field}: expected a whole number, got {value!r:.80}")
-    if value < minimum:
-        raise ValueError(f"{field}: expected {minimum} or more, got {value}")
+    if not minimum <= value <= maximum:
+        raise ValueError(f"{field}: expected {minimum} to {maximum}")
     return value
 
 
@@ -178,9 +214,10 @@
     value = spec[field]
     if not isinstance(value, int | float) or isinstance(value, bool):
         raise TypeError(f"{field}: expected a number, got {value!r:.80}")
-    if not 0 <= value < inf:
-        raise ValueError(f"{field}: expected 0 or more, got {value}")
-    return float(value)
+    number = float(value)
+    if not isfinite(number) or number < 0:
+        raise ValueError(f"{field}: expected 0 or more, got {value!r:.80}")
+    return number
 
 
 def decode_quarantine(name: str, spec: object) -> tuple[str, ...]:
@@ -196,12 +233,13 @@
     Raises
     ------
     PlatformError
-        With code ``bad-object`` when the ids are not a list of strings.
+        With code ``bad-object`` when the ids are not a list of labels.
     """
-    servers = spec.get("servers", ()) if isinstance(spec, dict) else None
-    if not isinstance(servers, list) or not all(isinstance(s, str) for s in servers):
-        raise PlatformError("bad-object", f"quarantine {name}: {servers!r:.80}")
-    return tuple(servers)
+    with _decoding(f"quarantine {name}"):
+        servers = spec["servers"]
+        if not isinstance(servers, list) or not all(map(is_label, servers)):
+            raise TypeError(f"servers: expected a list of ids, got {servers!r:.80}")
+        return tuple(servers)
 
 
 class ObjectDecoder:
--- a/lacewingcross/platform/store.py
+++ b/lacewingcross/platform/store.py
@@ -1,11 +1,14 @@
 """Reads and writes the objects of an entry host in the platform's metadata store."""
 
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from .. import logs
 from ..core.membership import HostInfo
 from ..core.replica import Document, Kind, Update
 from ..core.store_position import START, StorePosition
 from ..errors import PlatformError
+from ..greeting import invalid_host
 from .object_api import ApiObject, ObjectApi
 from .objects import CONFIG_NAME, HOSTS_PATH, KIND_PATHS
 
@@ -71,13 +74,14 @@
         return Update(kind, since, changes.as_of, _documents(kind, changes.items))
 
     async def host(self, host_id: str) -> HostInfo | None:
-        """Return a registered entry host, or None."""
+        """Return a registered entry host, None if it is missing or unreadable."""
         try:
-            return _host(await self._api.get(HOSTS_PATH, host_id))
+            item = await self._api.get(HOSTS_PATH, host_id)
         except PlatformError as exc:
             if exc.code != "not-found":
                 raise
             return None
+        return next(_hosts([item]), None)
 
     async def hosts(self, *, stale: bool = False) -> RegisteredHosts:
         """Return the registered entry hosts.
@@ -88,9 +92,7 @@
             Accept a list that may be some seconds old, see `ObjectApi.list`.
         """
         listing = await self._api.list(HOSTS_PATH, stale=stale)
-        return RegisteredHosts(
-            listing.as_of.era, [_host(item) for item in listing.items]
-        )
+        return RegisteredHosts(listing.as_of.era, list(_hosts(listing.items)))
 
     async def put_host(self, info: HostInfo) -> None:
         """Register an entry host, whether or not it was registered before."""
@@ -172,18 +174,33 @@
     ]
 
 
-def _host(item: ApiObject) -> HostInfo:
-    spec = item.spec if isinstance(item.spec, dict) else {}
+def _hosts(items: Iterable[ApiObject]) -> Iterator[HostInfo]:
+    """Yield the entry hosts in stored objects; an invalid one is logged instead.
+
+    Guards against another writer's entry whose address callers would be sent to.
+    """
+    for item in items:
+        try:
+            info = _decode_host(item)
+            expected = invalid_host(info)
+        except Exception as exc:
+            # Any program may have stored any value, so any step may fail on it.
+            expected = repr(exc)[:200]
+        if expected:
+            logs.event("store-host-rejected", "ERROR", host_id=item.name, why=expected)
+        else:
+            yield info
+
+
+def _decode_host(item: ApiObject) -> HostInfo:
+    """Return the host in an object, its fields unchecked."""
+    spec = item.spec
     return HostInfo(
         item.name,
-        str(spec.get("region", "")),
-        str(spec.get("failure_domain", "")),
-        str(spec.get("entry", "")),
-        str(spec.get("peer", "")),
-        cores=_cores(spec.get("cores")),
+        spec["region"],
+        spec["failure_domain"],
+        spec["entry"],
+        spec["peer"],
+        # Older versions do not store the processor capacity.
+        cores=float(spec.get("cores", 1.0)),
     )
-
-
-def _cores(value: object) -> float:
-    """Return the processor capacity of a host; older versions do not store it."""
-    return float(value) if isinstance(value, int | float) and value > 0 else 1.0
