A leaving host takes only requests that it can end

Cause: a leaving host took each request until its listener closed. Nothing compared the time that a request may take with the time left until the kill; with the grace_s and the time limits of the small deployments the two happened to fit.

What cannot end is refused at once, 503 host-leaving, not run, and no further attempt is made that cannot end.

--- a/lacewingcross/core/placement/work_times.py
+++ b/lacewingcross/core/placement/work_times.py
@@ -5,6 +5,8 @@
 A run is warm if the server has handled the object recently, and cold otherwise.
 """
 
+from math import inf
+
 from ..estimate import ServiceTimes
 
 # Service times assumed for a kind before any response, as fractions of the operators'
@@ -50,6 +52,16 @@
         """Return the number of recent responses from which the times are known."""
         return len(self._answers)
 
+    @property
+    def usual_answer_s(self) -> float:
+        """Return the time that nearly all responses take, in seconds.
+
+        It is infinite while few responses are known.
+        """
+        if len(self._answers) < MIN_SAMPLES:
+            return inf
+        return self._answers.quantile(SILENCE_QUANTILE)
+
     def learn_answer(self, latency_s: float) -> None:
         """Record how long one response took, network and waiting included."""
         self._answers.add(latency_s)
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -23,6 +23,7 @@
 from ..core.placement.send_gate import SendGate
 from ..core.replica import Kind
 from ..core.roster import Roster
+from ..core.shutdown import Shutdown
 from ..core.steering import Steering
 from ..errors import SettingsError
 from ..host.supervisor import Child, Supervisor, run_until_stopped
@@ -58,9 +59,6 @@
 # it with the default `Bounds.grace_s`. A caller that keeps an answer for longer may
 # still use this host after its listener has closed, and is refused.
 ACCEPT_WHILE_LEAVING_S = 3.2
-# How long before the platform kills the process the host stops waiting for requests, in
-# seconds. The platform kills it `Bounds.grace_s` after the shutdown began.
-KILL_MARGIN_S = 0.3
 FINISH_POLL_S = 0.02
 # Time without a running request after which a leaving host closes the connections that
 # are still open, in seconds. On an open connection a lost packet is usually sent again
@@ -327,20 +325,24 @@
         first refuses callers that a look-up has just sent to it. A host that stops at
         once cuts off bookings and uploads. So this host first announces that it is
         shutting down, goes on accepting connections for a while, see
-        `ACCEPT_WHILE_LEAVING_S`, and then waits for the requests that are running.
+        `ACCEPT_WHILE_LEAVING_S`, and then waits for the requests that are running. All
+        this time it refuses requests that it could not end, see `Shutdown`.
         """
         gateway = self.gateway
+        shutdown = Shutdown.begin(gateway.now(), gateway.cfg.bounds.grace_s)
+        gateway.shutdown = shutdown
         gateway.roster.leaving = True
         gateway.quotas.leave(gateway.times())
         self._peers.announce()
-        logs.event("host-leaving", running=self.entry.running_requests)
-        started_at = gateway.now()
+        logs.event(
+            "host-leaving",
+            running=self.entry.running_requests,
+            ends_in_s=shutdown.end_at - shutdown.began_at,
+        )
         leave_task = asyncio.get_running_loop().create_task(self._hosts.leave())
         await asyncio.sleep(min(ACCEPT_WHILE_LEAVING_S, gateway.cfg.bounds.grace_s / 2))
         await self.entry.server.stop_listening()
-        await self._wait_for_requests(
-            started_at + gateway.cfg.bounds.grace_s - KILL_MARGIN_S
-        )
+        await self._wait_for_requests(shutdown.end_at)
         await self.entry.server.close()
         leave_task.cancel()
         await asyncio.gather(leave_task, return_exceptions=True)
--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -25,7 +25,7 @@
 from .forwarding import request_for_server
 from .paths.reasons import HOST_REASONS, SILENT_SERVER
 from .repeats import RepeatedRequest
-from .reply import HostAnswer, Reply
+from .reply import HOST_LEAVING, LEAVING_RETRY_S, HostAnswer, Reply
 from .retry_decision import RetryDecision
 from .routed_request import RoutedRequest
 from .signals import record_signals
@@ -210,6 +210,8 @@
 
     def _choose(self) -> Choice | Refusal:
         now = self._gateway.now()
+        if not self._gateway.can_end(self._req.route, self._req.deadline_at):
+            return Refusal(HOST_LEAVING, LEAVING_RETRY_S)
         request = self._placement_request()
         choice = self._gateway.steering.placement.choose(request, now)
         if isinstance(choice, Choice):
@@ -416,7 +418,8 @@
         choice = self._gateway.steering.placement.choose(
             self._placement_request(), self._gateway.now(), only_asks=True
         )
-        self._had_room = isinstance(choice, Choice)
+        can_end = self._gateway.can_end(self._req.route, self._req.deadline_at)
+        self._had_room = can_end and isinstance(choice, Choice)
         return self._had_room
 
     async def _conclude(
--- a/lacewingcross/gateway/context.py
+++ b/lacewingcross/gateway/context.py
@@ -16,6 +16,8 @@
 from ..core.quotas.host_quotas import ClockReading, Quotas
 from ..core.replica import Document, Update
 from ..core.roster import Roster
+from ..core.routes import Route
+from ..core.shutdown import Shutdown
 from ..core.steering import Steering
 from ..core.watch_election import WatchElection
 from ..metrics import Metrics
@@ -83,6 +85,7 @@
         "quotas",
         "rank",
         "roster",
+        "shutdown",
         "steering",
         "streams",
         "time_budgets",
@@ -129,6 +132,8 @@
         # Rank among the hosts that may watch the store, 0 first. It is None while this
         # host has none, see `review_rank`.
         self.rank: int | None = None
+        # Set when this host begins to shut down.
+        self.shutdown: Shutdown | None = None
         self._clock = clock
         self._started_at = clock.monotonic()
         self._hosts_changed = asyncio.Event()
@@ -228,6 +233,22 @@
         """Return an id for an attempt that is unique in this process."""
         return next(self._attempt_ids)
 
+    def can_end(self, route: Route, deadline_at: float) -> bool:
+        """Return whether a request can end before this host does.
+
+        Parameters
+        ----------
+        route : Route
+            The request's route.
+        deadline_at : float
+            When this host answers the request at the latest, monotonic, in seconds.
+        """
+        if self.shutdown is None:
+            return True
+        expectations = self.steering.placement.expectations
+        usual_s = expectations.kind(route.name, route.target_s).usual_answer_s
+        return self.shutdown.allows(self.now(), deadline_at, usual_s)
+
     def closing_headers(self) -> hd.HeaderList:
         """Return headers that make callers use another host while this host leaves."""
         return [(b"connection", b"close")] if self.roster.leaving else []
--- a/lacewingcross/gateway/reply.py
+++ b/lacewingcross/gateway/reply.py
@@ -16,6 +16,12 @@
 BEARER_CHALLENGE = (b"www-authenticate", b"Bearer")
 
 
+# Code of a refusal since this host ends before the request could.
+HOST_LEAVING = "host-leaving"
+# Retry-After of a host that shuts down, in seconds; other hosts serve at once.
+LEAVING_RETRY_S = 0.05
+
+
 @dataclass(slots=True, frozen=True)
 class HostAnswer:
     """An answer that this host makes itself.
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -15,7 +15,7 @@
 from .context import Gateway
 from .faults import INTERNAL_ERROR, note_fault
 from .frame import Frame, FrameError, read_frame
-from .reply import HostAnswer, Reply
+from .reply import HOST_LEAVING, LEAVING_RETRY_S, HostAnswer, Reply
 from .routed_request import RoutedRequest
 
 # Callers stop waiting at their deadline. Answers are sent this much earlier to arrive
@@ -84,6 +84,10 @@
             self._started_at + (frame.remaining_s or inf),
             self._first_asked_at(admitted, frame),
         )
+        if not self._gateway.can_end(req.route, req.deadline_at):
+            refusal = HostAnswer(503, HOST_LEAVING, LEAVING_RETRY_S)
+            await self._reply.finish(refusal)
+            return
         self._series = AttemptSeries(self._gateway, req, self._reply)
         self._task = asyncio.current_task()
         self._exchange.on_gone = self._on_caller_gone
