Objects of the store are read one by one

Cause: a response of the store was decoded as a whole. One value that the decoder refused made all of it unusable: the RecursionError of a deep list ended the child gateway/servers, which watched from the same position again and ended again; a number of 5,000 digits was handled, but the host got no further either.

Change: a response is split into the raw texts of its objects by quotes, brackets and commas; each object, and in it name, revision and spec, is decoded by itself. What is decoded is bounded in depth and can be encoded again, so it reaches other hosts. An object with an unreadable spec exists, and no decoder takes the spec for a valid one. Texts from other hosts are read in the same way. A follower that fails for any other reason reads all objects next. child-restarted says where and how often in a row, and the metrics count restarts by child. A listing that can't go on is an error.

Why it works: what one object holds is looked at only after its neighbours' texts are apart from it, so no kind of value needs a case of its own.

--- a/lacewingcross/core/replica.py
+++ b/lacewingcross/core/replica.py
@@ -12,6 +12,10 @@
 
 from .store_position import START, StorePosition
 
+# Spec of an object that exists and whose spec cannot be read. It is no dictionary, so
+# no decoder takes it for a valid spec. It can be sent to other hosts like any spec.
+UNREADABLE_SPEC = "unreadable"
+
 
 class Kind(IntEnum):
     """Kinds of objects that hosts watch in the store."""
--- a/lacewingcross/errors.py
+++ b/lacewingcross/errors.py
@@ -34,6 +34,18 @@
     """A frame from another process cannot be decoded."""
 
 
+class UnreadableError(UserError):
+    """A value that another program has written cannot be decoded.
+
+    Parameters
+    ----------
+    code : str
+        ``bad-json`` or ``too-deep``.
+    message : str
+        What was expected, without the value.
+    """
+
+
 class PlatformError(UserError):
     """The platform refused a call or could not be reached.
 
@@ -41,7 +53,7 @@
     ----------
     code : str
         ``conflict``, ``not-found``, ``unavailable``, ``unknown-outcome``,
-        ``too-large``, ``compacted`` or ``bad-request``.
+        ``too-large``, ``compacted``, ``bad-request`` or ``unreadable``.
     message : str
         Description of the failure.
     """
--- a/lacewingcross/gateway/app.py
+++ b/lacewingcross/gateway/app.py
@@ -149,7 +149,10 @@
         self.carrier = Carrier(self.gateway, checks.look)
         self._peers = Peers(self.gateway, self.carrier)
         self._hosts = HostDirectory(self.gateway, self._store)
-        self.root = Supervisor("gateway", self._children())
+        self.root = Supervisor("gateway", self._children(), self._count_restart)
+
+    def _count_restart(self, child: str) -> None:
+        self.gateway.metrics.count(f"children.restarted.{child}")
 
     def _path_checks(self) -> PathChecks:
         gateway = self.gateway
--- a/lacewingcross/gateway/gossip_receiver.py
+++ b/lacewingcross/gateway/gossip_receiver.py
@@ -14,6 +14,7 @@
 from ..errors import FrameError, UserError
 from ..greeting import host_of, invalid_host
 from ..sockets import set_silence_timeout
+from ..strict_json import decode
 from ..wire import read_message
 from .context import Gateway
 from .paces import record_peer_paces
@@ -216,8 +217,8 @@
         gateway = self._gateway
         before = gateway.steering.config_version
         try:
-            taken = gateway.take_configuration(json.loads(message.text))
-        except (UserError, ValueError) as exc:
+            taken = gateway.take_configuration(decode(message.text.encode()))
+        except UserError as exc:
             gateway.metrics.count("peers.version-refused")
             logs.event("version-refused", "ERROR", source=info.host_id, why=repr(exc))
             return
--- a/lacewingcross/gateway/store_follower.py
+++ b/lacewingcross/gateway/store_follower.py
@@ -190,28 +190,38 @@
         Kind of objects.
     """
 
-    __slots__ = ("_backoff", "_compacted", "_follower", "_kind", "_listed", "_wait_s")
+    __slots__ = ("_backoff", "_must_relist", "_follower", "_kind", "_listed", "_wait_s")
 
     def __init__(self, follower: StoreFollower, kind: Kind) -> None:
         self._follower = follower
         self._kind = kind
         self._backoff = follower.backoff()
-        # Whether the store lacks the changes since the position of the copy.
-        self._compacted = False
+        # Whether the changes since the position of the copy cannot be had: the store
+        # lacks them, or its answer cannot be used.
+        self._must_relist = False
         # Whether the objects were read since the last watch that succeeded.
         self._listed = False
         self._wait_s = FIRST_WAIT_S
 
     async def run(self) -> None:
-        """Read and watch the objects whenever this host is elected to."""
-        while True:
-            if self._follower.should_watch(self._kind):
-                await self._call_store()
-            else:
-                await self._rest()
+        """Read and watch the objects whenever this host is elected to.
+
+        Guards against a host that never gets past changes which it cannot apply: it
+        would watch from the same position and fail again. After a failure it reads all
+        objects.
+        """
+        try:
+            while True:
+                if self._follower.should_watch(self._kind):
+                    await self._call_store()
+                else:
+                    await self._rest()
+        except Exception:
+            self._must_relist = True
+            raise
 
     async def _rest(self) -> None:
-        self._compacted = False
+        self._must_relist = False
         self._wait_s = FIRST_WAIT_S
         has_data = self._follower.has_data(self._kind)
         await asyncio.sleep(REVIEW_INTERVAL_S if has_data else EMPTY_REVIEW_INTERVAL_S)
@@ -225,16 +235,18 @@
             self._follower.note_success()
         except PlatformError as exc:
             if exc.code == "compacted":
-                self._compacted = True
+                self._must_relist = True
                 logs.event("store-compacted", kind=self._kind.name)
                 return
+            if exc.code == "unreadable":
+                self._must_relist = True
             self._follower.note_failure(self._kind, exc)
             await self._backoff.wait()
 
     def _must_list(self) -> bool:
         has_data = self._follower.has_data(self._kind)
         restored = self._follower.was_restored(self._kind)
-        return not has_data or self._compacted or restored
+        return not has_data or self._must_relist or restored
 
     async def _list(self) -> None:
         if self._listed:
@@ -243,7 +255,7 @@
             return
         self._listed = True
         await self._follower.list(self._kind)
-        self._compacted = False
+        self._must_relist = False
 
     async def _peer_listed(self) -> bool:
         """Wait for the listing of a host of lower rank; return whether it came.
@@ -258,7 +270,7 @@
         await asyncio.sleep(wait_s)
         if self._follower.as_of(self._kind) == since:
             return False
-        self._compacted = False
+        self._must_relist = False
         return True
 
     async def _watch(self) -> None:
--- a/lacewingcross/gateway/store_messages.py
+++ b/lacewingcross/gateway/store_messages.py
@@ -3,8 +3,10 @@
 import json
 
 from ..core import messages as msg
-from ..core.replica import Document, Kind, Replica, Update
+from ..core.replica import UNREADABLE_SPEC, Document, Kind, Replica, Update
 from ..core.store_position import StorePosition
+from ..errors import UnreadableError
+from ..strict_json import decode
 
 
 def changes_message(update: Update, *, fresh: bool) -> msg.StoreChanges:
@@ -44,4 +46,12 @@
 ) -> Document:
     if text and replica.has(kind, name, position):
         return replica.get(kind, name)
-    return Document(kind, name, position, json.loads(text) if text else None)
+    return Document(kind, name, position, _spec_in(text) if text else None)
+
+
+def _spec_in(text: str) -> object:
+    """Return the spec that another host sends, or `UNREADABLE_SPEC`."""
+    try:
+        return decode(text.encode())
+    except UnreadableError:
+        return UNREADABLE_SPEC
--- a/lacewingcross/host/supervisor.py
+++ b/lacewingcross/host/supervisor.py
@@ -34,12 +34,20 @@
     children : list of Child
         Started in order, cancelled in reverse order. A child may be the `run` of
         another supervisor.
+    on_restart : callable, optional
+        Called with the name of a child that has failed, before it is started again.
     """
 
-    __slots__ = ("_children", "_tasks", "name", "restarts")
+    __slots__ = ("_children", "_on_restart", "_tasks", "name", "restarts")
 
-    def __init__(self, name: str, children: list[Child]) -> None:
+    def __init__(
+        self,
+        name: str,
+        children: list[Child],
+        on_restart: Callable[[str], None] = lambda child: None,
+    ) -> None:
         self.name = name
+        self._on_restart = on_restart
         self.restarts = 0
         self._children = children
         self._tasks: list[asyncio.Task[None]] = []
@@ -66,6 +74,7 @@
     async def _keep_running(self, child: Child) -> None:
         loop = asyncio.get_running_loop()
         delay_s = MIN_RESTART_DELAY_S
+        failures_in_a_row = 0
         while True:
             started_at = loop.time()
             try:
@@ -78,15 +87,20 @@
                 # callers or operators. The whole tree stops.
                 raise
             except Exception as exc:
+                if loop.time() - started_at > STABLE_RUN_S:
+                    delay_s = MIN_RESTART_DELAY_S
+                    failures_in_a_row = 0
+                failures_in_a_row += 1
                 self.restarts += 1
+                self._on_restart(child.name)
                 logs.event(
                     "child-restarted",
                     "ERROR",
                     child=f"{self.name}/{child.name}",
                     error=repr(exc),
+                    where=logs.place_of(exc),
+                    in_a_row=failures_in_a_row,
                 )
-            if loop.time() - started_at > STABLE_RUN_S:
-                delay_s = MIN_RESTART_DELAY_S
             await asyncio.sleep(delay_s)
             delay_s = min(MAX_RESTART_DELAY_S, delay_s * 2)
 
--- a/lacewingcross/platform/object_api.py
+++ b/lacewingcross/platform/object_api.py
@@ -8,15 +8,27 @@
 
 import json
 import ssl as ssl_module
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, replace
+from typing import TypeVar
 from urllib.parse import quote
 
 from .. import headers as hd
 from .. import logs
 from ..core.store_position import StorePosition
-from ..errors import PlatformError
+from ..errors import PlatformError, UnreadableError
 from ..http1_client import HttpClient, HttpError, Response
 from ..http1_json import JSON_TYPE
+from ..strict_json import decode
+from .stored_items import (
+    StoredItem,
+    read_changes,
+    read_event,
+    read_item,
+    read_page,
+)
+
+_Value = TypeVar("_Value")
 
 # Timeout of a call, in seconds. A platform that is only slow answers within a few
 # hundred milliseconds. A longer silence counts as an outage, so that another source of
@@ -54,7 +66,8 @@
 class ApiObjects:
     """All objects of one kind, or their changes, complete up to position `as_of`.
 
-    Objects whose metadata cannot be read are left out.
+    Objects whose name or revision cannot be read are left out. The spec of an object of
+    which only the spec cannot be read is `UNREADABLE_SPEC`.
     """
 
     as_of: StorePosition
@@ -63,17 +76,33 @@
 
 @dataclass(slots=True, frozen=True)
 class Answer:
-    """The decoded body of a response, and the era of the platform in which it was made.
+    """The body of a response, and the era of the platform in which it was made.
 
     A response that does not state its era counts as one of the latest era known.
+    `call` names the call in errors.
     """
 
-    data: dict
+    body: bytes
     era: int
+    call: str
 
-    def position(self, revision: object) -> StorePosition:
-        """Return the position of a revision that the response names."""
-        return StorePosition(self.era, int(revision))
+    def read(self, reader: Callable[[bytes], _Value]) -> _Value:
+        """Return what a function reads from the body.
+
+        Raises
+        ------
+        PlatformError
+            With code ``unreadable`` when the function cannot read it.
+        """
+        try:
+            return reader(self.body)
+        except UnreadableError as exc:
+            raise PlatformError("unreadable", f"{self.call}: {exc}") from exc
+
+    def data(self) -> dict:
+        """Return the decoded body, empty if it is no JSON object."""
+        data = self.read(decode) if self.body else {}
+        return data if isinstance(data, dict) else {}
 
 
 class ObjectApi:
@@ -140,18 +169,18 @@
                 "allow_stale": "1" if stale else "",
             }
             answer = await self._call("GET", _target(kind, query=query))
-            as_of = as_of or answer.position(answer.data["as_of"])
+            page = answer.read(read_page)
+            as_of = as_of or StorePosition(answer.era, page.as_of)
             if as_of.era != answer.era:
                 return None
-            items = [
-                _decode_or_none(kind, item, as_of.era) for item in answer.data["items"]
-            ]
-            readable = [item for item in items if item is not None]
+            readable = list(_readable_items(kind, page.items, as_of.era))
             objects += readable
-            # The next page starts after the last readable name. If a page has none, the
-            # listing ends there, also if the platform has more pages.
-            if not answer.data.get("has_more") or not readable:
+            if not page.has_more:
                 return ApiObjects(as_of, objects)
+            if not readable:
+                # The name after which the next page starts is not known. A listing
+                # that ends here would show the objects after it as deleted.
+                raise PlatformError("unreadable", f"{kind}: a page without a name")
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> ApiObjects:
         """Wait for changes of a kind after a revision.
@@ -176,14 +205,9 @@
         query = {"watch": revision, "wait_ms": int(wait_s * 1000)}
         target = _target(kind, query=query)
         answer = await self._call("GET", target, wait_s=wait_s)
-        events = [
-            _decode_or_none(
-                kind, event["object"], answer.era, deleted=bool(event["deleted"])
-            )
-            for event in answer.data["events"]
-        ]
-        readable = [event for event in events if event is not None]
-        return ApiObjects(answer.position(answer.data["as_of"]), readable)
+        changes = answer.read(read_changes)
+        items = list(_readable_events(kind, changes.events, answer.era))
+        return ApiObjects(StorePosition(answer.era, changes.as_of), items)
 
     async def get(self, kind: str, name: str) -> ApiObject:
         """Return an object; the error code is ``not-found`` if it does not exist."""
@@ -222,11 +246,13 @@
         """
         query = {"revision": revision or ""}
         answer = await self._call("DELETE", _target(kind, name, query))
-        return answer.position(answer.data.get("metadata", {}).get("revision", 0))
+        metadata = answer.data().get("metadata")
+        revision = metadata.get("revision") if isinstance(metadata, dict) else 0
+        return StorePosition(answer.era, revision if isinstance(revision, int) else 0)
 
     async def call(self, method: str, target: str) -> dict:
         """Make one call and return the decoded body of the response."""
-        return (await self._call(method, target)).data
+        return (await self._call(method, target)).data()
 
     async def _call(
         self, method: str, target: str, body: object = None, wait_s: float = 0.0
@@ -250,7 +276,7 @@
             With a code of `_ERROR_CODES`, or ``unknown-outcome`` for a write whose
             response was lost, or is of an era before the latest one known. The code is
             ``unavailable`` for any other failure: no connection, a lost response to a
-            read, an unlisted status, or a response that is not JSON.
+            read, or an unlisted status.
         """
         self.calls += 1
         data = b"" if body is None else encode(body)
@@ -265,10 +291,11 @@
             raise PlatformError(code, f"{method} {target}: {exc}") from exc
         era = _stated_era(response) or self.era
         self.era = max(self.era, era)
-        decoded = _decode(response, f"{method} {target}")
+        call = f"{method} {target}"
+        _raise_for_status(response, call)
         if method != "GET" and era < self.era:
-            raise PlatformError("unknown-outcome", f"{method} {target}: era {era}")
-        return Answer(decoded, era)
+            raise PlatformError("unknown-outcome", f"{call}: era {era}")
+        return Answer(response.body, era, call)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -296,46 +323,52 @@
     return int(text) if readable else 0
 
 
-def _decode(response: Response, call: str) -> dict:
+def _raise_for_status(response: Response, call: str) -> None:
+    """Raise the error of a response that reports one."""
+    if response.status < 300:
+        return
     try:
-        # Other writers may have stored bytes that are not UTF-8. That makes their
-        # object invalid, but the rest of the response must stay readable.
-        text = response.body.decode("utf-8", "replace")
-        data = json.loads(text) if text else {}
-    except ValueError as exc:
-        raise PlatformError("unavailable", f"{call}: the response is not JSON") from exc
-    if response.status >= 300:
-        code = _ERROR_CODES.get(response.status, "unavailable")
-        detail = data.get("message", "") if isinstance(data, dict) else ""
-        raise PlatformError(code, f"{call}: status {response.status} {detail}".rstrip())
-    return data if isinstance(data, dict) else {}
+        data = decode(response.body)
+    except UnreadableError:
+        data = None
+    code = _ERROR_CODES.get(response.status, "unavailable")
+    detail = str(data.get("message", ""))[:200] if isinstance(data, dict) else ""
+    raise PlatformError(code, f"{call}: status {response.status} {detail}".rstrip())
 
 
 def _object_in(answer: Answer) -> ApiObject:
-    return _decode_object(answer.data, answer.era)
+    return _api_object(answer.read(read_item), answer.era)
 
 
-def _decode_or_none(
-    kind: str, item: object, era: int, *, deleted: bool = False
-) -> ApiObject | None:
-    """Return a stored object, or None if its metadata cannot be read.
+def _readable_items(
+    kind: str, raw_items: Iterable[bytes], era: int
+) -> Iterator[ApiObject]:
+    """Yield the objects of a listing; one that cannot be read is logged instead."""
+    for raw in raw_items:
+        try:
+            yield _api_object(read_item(bytes(raw)), era)
+        except UnreadableError as exc:
+            _log_unreadable(kind, exc)
 
-    Guards against one object of five hundred that lacks its metadata, since any writer
-    may have stored it. Each listing would fail as a whole, and the host would not learn
-    of any server. Only the object itself is left out and logged.
-    """
-    try:
-        return _decode_object(item, era, deleted=deleted)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
-        logs.event("store-item-unreadable", "ERROR", kind=kind, why=repr(exc))
-        return None
-
-
-def _decode_object(item: dict, era: int, *, deleted: bool = False) -> ApiObject:
-    meta = item["metadata"]
-    position = StorePosition(era, int(meta["revision"]))
-    if deleted:
-        return ApiObject(meta["name"], position, None)
-    # An object without a spec exists nonetheless: an evacuation may have only a name.
-    spec = item.get("spec")
-    return ApiObject(meta["name"], position, {} if spec is None else spec)
+
+def _readable_events(
+    kind: str, raw_events: Iterable[bytes], era: int
+) -> Iterator[ApiObject]:
+    """Yield the changes of a watch; one that cannot be read is logged instead."""
+    for raw in raw_events:
+        try:
+            event = read_event(bytes(raw))
+            item = read_item(bytes(event.object))
+        except UnreadableError as exc:
+            _log_unreadable(kind, exc)
+            continue
+        found = _api_object(item, era)
+        yield replace(found, spec=None) if event.deleted else found
+
+
+def _api_object(item: StoredItem, era: int) -> ApiObject:
+    return ApiObject(item.name, StorePosition(era, item.revision), item.spec)
+
+
+def _log_unreadable(kind: str, exc: UnreadableError) -> None:
+    logs.event("store-item-unreadable", "ERROR", kind=kind, why=str(exc))
--- a/lacewingcross/platform/objects.py
+++ b/lacewingcross/platform/objects.py
@@ -45,7 +45,7 @@
         }
         routes = tuple(_route(name, data) for name, data in spec["routes"].items())
         return Configuration(
-            int(spec["version"].lstrip("r")),
+            _version(spec),
             routes,
             services,
             _limits(spec),
@@ -67,16 +67,38 @@
         raise PlatformError("bad-object", f"{what:.80}: {repr(exc)[:200]}") from exc
 
 
+def _version(spec: dict) -> int:
+    version = int(spec["version"].lstrip("r"))
+    if not 0 <= version <= MAX_INTEGER:
+        raise ValueError(f"version: expected at most {MAX_INTEGER}")
+    return version
+
+
 def _service(name: str, data: dict) -> Service:
     return Service(
         name,
-        data.get("health_path") or "/health",
+        _text(data, "health_path") if data.get("health_path") else "/health",
         int(_number(data, "max_connections", 100)),
         _number(data, "cold_start_s", 0.0),
         _number(data, "cold_per_s", 0.0),
     )
 
 
+def _text(data: dict, field: str) -> str:
+    value = data[field]
+    if not isinstance(value, str):
+        raise TypeError(f"{field}: expected a string, got {value!r:.80}")
+    return value
+
+
+def _regions(data: dict) -> frozenset[str]:
+    """Return the home regions of a route or account; none if the field is empty."""
+    value = data.get("home_regions") or []
+    if not isinstance(value, list) or not all(isinstance(r, str) for r in value):
+        raise TypeError(f"home_regions: expected strings, got {value!r:.80}")
+    return frozenset(value)
+
+
 def _number(data: dict, field: str, default: float) -> float:
     """Return a number of 0 or more; `default` if it is missing or 0."""
     return _non_negative(data, field) if data.get(field) else default
@@ -85,24 +107,24 @@
 def _route(name: str, data: dict) -> Route:
     if data.get("traffic_split"):
         parts = tuple(
-            Part(item["service"], _non_negative(item, "weight"))
+            Part(_text(item, "service"), _non_negative(item, "weight"))
             for item in data["traffic_split"]
         )
     else:
-        parts = (Part(data["service"], 1.0),)
+        parts = (Part(_text(data, "service"), 1.0),)
     timeout_s = _non_negative(data, "timeout_s")
     return Route(
         name=name,
-        host_name=data["host"].lower(),
-        prefix=data["path_prefix"],
-        repeatable=data["route_type"] == "safe",
+        host_name=_text(data, "host").lower(),
+        prefix=_text(data, "path_prefix"),
+        repeatable=_text(data, "route_type") == "safe",
         parts=parts,
         timeout_s=timeout_s,
         target_s=_number(data, "target_latency_s", timeout_s),
         max_attempts=int(_number(data, "max_attempts", 1)),
         priority=int(_number(data, "priority", 0)),
         affinity=bool(data.get("affinity")),
-        home_regions=frozenset(data.get("home_regions") or ()),
+        home_regions=_regions(data),
         public=bool(data.get("public")),
     )
 
@@ -124,9 +146,7 @@
 
 def _account(name: str, data: dict) -> ClientAccount:
     rank = _integer(data, "priority") if data.get("priority") is not None else None
-    return ClientAccount(
-        name, rank, frozenset(data.get("home_regions") or ()), _quota(data)
-    )
+    return ClientAccount(name, rank, _regions(data), _quota(data))
 
 
 def _quota(data: dict) -> Quota | None:
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -12,6 +12,7 @@
 from lacewingcross.core.watch_election import WatchElection
 from lacewingcross.errors import PlatformError
 from lacewingcross.gateway.store_follower import StoreFollower
+from lacewingcross.host.supervisor import Child, Supervisor
 
 # Calls per second and kind of objects that a host may make: 195 hosts that each watch
 # four kinds stay below the 6,000 reads a second of a large store.
@@ -55,6 +56,14 @@
     gone()
 
 
+async def watch_unreadable(*_args):
+    raise PlatformError("unreadable", "no end")
+
+
+async def watch_fails(*_args):
+    raise RuntimeError("a fault")
+
+
 async def watch_waits(store, kind, since, wait_s):
     await asyncio.sleep(wait_s)
     return Update(kind, since, StorePosition(store.era, since.revision), [])
@@ -112,6 +121,7 @@
     [
         (list_at(9), watch_waits),
         (list_at(9), watch_gone),
+        (list_at(9), watch_unreadable),
         (gone, watch_gone),
         (list_at(9), watch_at_once),
         (list_at(9), watch_of_an_earlier_era),
@@ -121,6 +131,7 @@
     ids=[
         "sound",
         "watches-gone-for-ever",
+        "watches-that-cannot-be-read",
         "listings-gone-too",
         "watches-that-do-not-wait",
         "answers-of-an-earlier-era",
@@ -160,3 +171,22 @@
     asyncio.run(run())
     assert len(listed) == listings
     assert replica.as_of(Kind.SERVER) == StorePosition(2, 3)
+
+
+@pytest.mark.parametrize("watch", [watch_unreadable, watch_fails])
+def test_a_host_gets_past_changes_that_it_cannot_apply(watch):
+    # Guards against a host that watches from the same position and fails for ever.
+    replica = Replica()
+    store = ScriptedStore(list_at(9), watch)
+    replica.apply(list_at(3)(store, Kind.SERVER))
+    follower = StoreFollower(gateway_with(replica), store, lambda update: None)
+    tree = Supervisor("test", [Child("servers", follower.watch_loop(Kind.SERVER))])
+
+    async def run():
+        running = asyncio.ensure_future(tree.run())
+        await asyncio.sleep(1.0)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    asyncio.run(run())
+    assert replica.as_of(Kind.SERVER) == StorePosition(1, 9)
