Each attempt gives its connection back, whatever its outcome

Callers saw: after some hundred successes without a signature (a status check through a route is one) a host refused a service until it restarted. Behind such an answer a server could send without end: 2,166 MB in one host, seen beforehand.

Cause: a success without a signature failed its attempt only after its response had been read whole. The attempt kept the connection for a caller that was still to get the response, and the conclusion gave back incomplete responses only.

Change: the signature is checked as soon as the head has arrived, so the body is not read; a complete response gives its connection back at once, and the end of each attempt gives back what is left, which does nothing the second time.

Why it works: no outcome leaves the attempt without passing that end.

--- a/lacewingcross/gateway/attempt.py
+++ b/lacewingcross/gateway/attempt.py
@@ -188,7 +188,10 @@
         self._conn = None
 
     def release_connection(self, *, complete: bool) -> None:
-        """Pool the connection again after a complete exchange, else close it."""
+        """Pool the connection again after a complete exchange, else close it.
+
+        Do nothing if that was done before.
+        """
         conn = self._conn
         self._conn = None
         if conn is None:
@@ -200,8 +203,8 @@
             self._connector.discard(self.server.entry, conn)
 
 
-def classify(answer: Answer) -> Ending:
-    """Return how an attempt ended, judged by the server's response.
+def check_signature(head: ResponseHead) -> None:
+    """Check that a success was sent by a backend server, before its body is read.
 
     Raises
     ------
@@ -209,12 +212,17 @@
         The response reports success but lacks the server's signature. It was damaged
         on its way, or did not come from a backend server.
     """
+    if not 200 <= head.status < 300 or hd.find(head.headers, ph.NOT_RUN):
+        return
+    if not hd.find(head.headers, ph.SIGNATURE):
+        raise InvalidResponseError("success-without-signature")
+
+
+def classify(answer: Answer) -> Ending:
+    """Return how an attempt ended, judged by the server's response."""
     head = answer.head
     if head.status == MISDIRECTED or hd.find(head.headers, ph.NOT_RUN):
         return Ending.SERVER_NOT_RUN
-    signed = bool(hd.find(head.headers, ph.SIGNATURE))
-    if 200 <= head.status < 300 and not signed:
-        raise InvalidResponseError("success-without-signature")
     if head.status >= MIN_SERVER_ERROR:
         return Ending.SERVER_ERROR
     return Ending.ANSWERED
--- a/lacewingcross/gateway/attempt_series.py
+++ b/lacewingcross/gateway/attempt_series.py
@@ -15,6 +15,7 @@
     Answer,
     AttemptRun,
     InvalidResponseError,
+    check_signature,
     classify,
     was_full,
 )
@@ -287,7 +288,7 @@
                 attempt_id, ending, reason, began_at, answer, self.caller_gone
             )
             record_result(self._gateway, choice, result)
-            if answer is None or complete or ending is Ending.SERVER_NOT_RUN:
+            if answer is None or answer.complete or ending is Ending.SERVER_NOT_RUN:
                 run.release_connection(complete=complete)
         if self._superseded:
             self._log.superseded(attempt, self._time_left_s())
@@ -306,7 +307,10 @@
                 # Another host has no way to this server either.
                 self._tried.add(attempt.server_id)
             return verdict
-        return await self._conclude(run, attempt, ending, answer)
+        try:
+            return await self._conclude(run, attempt, ending, answer)
+        finally:
+            run.release_connection(complete=False)
 
     def _undo_attempt(self, attempt: Attempt) -> Verdict:
         """Undo an attempt; nothing was sent to a server, so it counts as not made."""
@@ -376,6 +380,7 @@
             self._gateway.paths.reachability.heard(run.server.entry, now)
         note_head(self._gateway, run.server, head)
         record_signals(self._gateway, run.server, head, sent_at)
+        check_signature(head)
         return await run.read_body(head)
 
     async def _read_head_in_time(
