Limit what a reader of responses skips and keeps

Callers saw: beside one server that sends interim responses without end, all requests of a host were late or unanswered; with the body of another answer, the requests of that server were held until their deadline.

Cause: the reader of responses skips interim responses and responses to other requests, without a limit and without letting other tasks run while events are at hand. What a server sent went to the parser whether or not anybody read it.

Change: one reader of responses, http1_response.py, for servers, the store and the callers of the library. A connection to a server receives no more while 128 KB wait to be read. A complete response of the store has 16 MB at most. The limits were chosen, not measured: a late answer of the deployments has some KB.

Why it works: bytes, events and the time between two turns of the loop are bounded in the place through which all responses pass; what is not read stops at the socket.

--- a/lacewingcross/gateway/backend_connection.py
+++ b/lacewingcross/gateway/backend_connection.py
@@ -1,13 +1,14 @@
 """One connection to a backend server; it checks which request a response is for."""
 
 import asyncio
+from collections import deque
 from collections.abc import Iterable
 
 import h11
 
 from .. import headers as hd
 from ..checks import split_address
-from ..http1_client import HttpError, ResponseHead
+from ..http1_response import HttpError, ResponseHead, ResponseReader
 from ..platform import headers as ph
 from ..sockets import set_silence_timeout
 
@@ -23,6 +24,10 @@
 REFUSED = "connect-refused"
 # Reason why no connection could be opened: a timeout, or any error but a refusal.
 UNREACHABLE = "connect-failed"
+# Received bytes that wait to be read. While there are more, nothing more is received:
+# a server may send without end while its request is still being written, or after its
+# response.
+MAX_UNREAD_BYTES = 128 * 1024
 # Responses read before an exchange fails because all of them were for other requests.
 MAX_STRAY_RESPONSES = 3
 
@@ -42,6 +47,8 @@
         Stable code of why nothing more can be received; empty while that is possible.
     transport : asyncio.Transport or None
         The transport, once connected.
+    unread_bytes : int
+        Number of received bytes that were not read yet.
     used_at : float
         Monotonic time from which the idle time counts, in seconds: the end of the last
         exchange, or for an unused connection the time when it was first pooled.
@@ -50,17 +57,26 @@
     __slots__ = (
         "_busy",
         "_h11",
+        "_paused",
         "_received_any",
         "_request",
+        "_responses",
+        "_unread",
         "_waiter",
         "keep_alive_s",
         "lost",
         "transport",
+        "unread_bytes",
         "used_at",
     )
 
     def __init__(self) -> None:
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._responses = ResponseReader(self._h11, self._receive, self._not_http)
+        # Received bytes, empty ones for the end of the stream.
+        self._unread: deque[bytes] = deque()
+        self.unread_bytes = 0
+        self._paused = False
         # Whether any byte was received since the request was sent.
         self._received_any = False
         self._busy = False
@@ -92,19 +108,25 @@
         set_silence_timeout(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse a part of the response."""
+        """Keep a part of the response until it is read."""
         if not self._busy:
             self.lost = "surplus-bytes"
             self.transport.abort()
             return
         self._received_any = True
-        self._feed(data)
+        self._unread.append(data)
+        self.unread_bytes += len(data)
+        if self.unread_bytes > MAX_UNREAD_BYTES and not self._paused:
+            self._paused = True
+            self.transport.pause_reading()
+        self._wake()
 
     def eof_received(self) -> bool:
         """Record the end of the stream; a response without a length ends with it."""
         if self._busy:
-            self._feed(b"")
+            self._unread.append(b"")
         self.lost = self.lost or "closed"
+        self._wake()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -112,12 +134,19 @@
         self.lost = self.lost or ("reset" if exc is not None else "closed")
         self._wake()
 
-    def _feed(self, data: bytes) -> None:
-        try:
-            self._h11.receive_data(data)
-        except h11.RemoteProtocolError:
-            self.lost = "not-http"
-        self._wake()
+    async def _receive(self) -> bytes:
+        """Return the next received bytes, empty at the end of the stream."""
+        while not self._unread:
+            if self.lost:
+                raise HttpError(self.lost, sent=True)
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        data = self._unread.popleft()
+        self.unread_bytes -= len(data)
+        if self._paused and self.unread_bytes <= MAX_UNREAD_BYTES:
+            self._paused = False
+            self.transport.resume_reading()
+        return data
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
@@ -135,6 +164,7 @@
         self._received_any = False
         self._busy = True
         self._request = request
+        self._responses.begin()
         try:
             data = [self._h11.send(request) or b""]
             data += [self._h11.send(h11.Data(data=part)) or b"" for part in parts]
@@ -157,7 +187,7 @@
     async def read_head(self, request_id: bytes) -> ResponseHead:
         """Read the head of the response to `request_id`, skipping other responses."""
         for _ in range(MAX_STRAY_RESPONSES):
-            head = await self._read_any_head()
+            head = await self._responses.read_head()
             response_id = hd.find(head.headers, ph.REQUEST_ID).encode("latin-1")
             if not response_id or response_id == request_id:
                 self._read_keep_alive(head)
@@ -165,18 +195,9 @@
             await self._skip_response()
         raise HttpError("stray-answers", sent=True)
 
-    async def _read_any_head(self) -> ResponseHead:
-        while True:
-            event = await self._next()
-            if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, list(event.headers))
-            if not isinstance(event, h11.InformationalResponse):
-                raise HttpError("closed-early", sent=True)
-
     async def _skip_response(self) -> None:
         """Discard the rest of a response to another request."""
-        while not isinstance(await self._next(), h11.EndOfMessage):
-            pass
+        await self._responses.skip_body()
         try:
             self._h11.start_next_cycle()
             # This only sets the parser's state: the request was already written.
@@ -187,35 +208,16 @@
 
     async def read_part(self) -> bytes:
         """Return the next part of the body, empty at its end."""
-        event = await self._next()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            return b""
-        raise HttpError("cut-short", sent=True)
-
-    async def _next(self) -> h11.Event:
-        while True:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise HttpError(
-                    self._protocol_error_reason(), sent=True, detail=repr(exc)
-                ) from exc
-            if event is not h11.NEED_DATA:
-                return event
-            if self.lost:
-                raise HttpError(self.lost, sent=True)
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
+        return await self._responses.read_part()
 
-    def _protocol_error_reason(self) -> str:
-        """Return why the parser failed.
+    def _not_http(self, exc: h11.RemoteProtocolError) -> HttpError:
+        """Return the error for a violation of the protocol.
 
         A connection that closed before any byte was received gives the reason in
         `lost`; received bytes that are no HTTP response give "not-http".
         """
-        return "not-http" if self._received_any else self.lost or "not-http"
+        reason = "not-http" if self._received_any else self.lost or "not-http"
+        return HttpError(reason, sent=True, detail=repr(exc))
 
     def _read_keep_alive(self, head: ResponseHead) -> None:
         granted = hd.find(head.headers, b"keep-alive").partition("timeout=")[2]
@@ -227,7 +229,9 @@
         done = (h11.DONE, h11.DONE)
         if self.lost or (self._h11.our_state, self._h11.their_state) != done:
             return False
-        if self.transport.get_write_buffer_size() or self._h11.trailing_data[0]:
+        if self._unread or self._h11.trailing_data[0]:
+            return False
+        if self.transport.get_write_buffer_size():
             return False
         self._h11.start_next_cycle()
         self._busy = False
--- a/lacewingcross/http1_client.py
+++ b/lacewingcross/http1_client.py
@@ -3,54 +3,20 @@
 import asyncio
 import ssl as ssl_module
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
 
 import h11
 
 from . import headers as hd
 from .checks import split_address
+from .http1_response import HttpError, Response, ResponseHead, ResponseReader
 
 # Limit on the bytes of one read.
 READ_SIZE = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 8
-
-
-class HttpError(Exception):
-    """An HTTP exchange failed.
-
-    Parameters
-    ----------
-    reason : str
-        Stable code of the failure.
-    sent : bool
-        Whether some of the request may have been written to the connection, so that the
-        server may have run it.
-    detail : str, default=""
-        Further description for the log.
-    """
-
-    def __init__(self, reason: str, *, sent: bool, detail: str = "") -> None:
-        super().__init__(f"{reason}: {detail}" if detail else reason)
-        self.reason = reason
-        self.sent = sent
-
-
-@dataclass(slots=True, frozen=True)
-class ResponseHead:
-    """Status and headers of a response."""
-
-    status: int
-    headers: hd.HeaderList
-
-
-@dataclass(slots=True, frozen=True)
-class Response:
-    """A complete response."""
-
-    status: int
-    headers: hd.HeaderList
-    body: bytes
+# Limit on the body of a complete response, in bytes. Answers of the platform's store
+# have about 1 MB at most.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class ClientConnection:
@@ -62,7 +28,14 @@
         Time of the last exchange, set and read by a pool that closes idle connections.
     """
 
-    __slots__ = ("_h11", "_reader", "_unsent_head", "_writer", "used_at")
+    __slots__ = (
+        "_h11",
+        "_reader",
+        "_responses",
+        "_unsent_head",
+        "_writer",
+        "used_at",
+    )
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -70,6 +43,7 @@
         self._reader = reader
         self._writer = writer
         self._h11 = h11.Connection(h11.CLIENT)
+        self._responses = ResponseReader(self._h11, self._receive, _read_failed)
         self._unsent_head = b""
         self.used_at = 0.0
 
@@ -119,35 +93,20 @@
         except (OSError, h11.LocalProtocolError) as exc:
             raise HttpError("write-failed", sent=True, detail=repr(exc)) from exc
 
-    async def _next_event(self) -> h11.Event:
-        while True:
-            try:
-                event = self._h11.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self._h11.receive_data(await self._reader.read(READ_SIZE))
-            except (OSError, h11.RemoteProtocolError) as exc:
-                raise HttpError("read-failed", sent=True, detail=repr(exc)) from exc
+    async def _receive(self) -> bytes:
+        try:
+            return await self._reader.read(READ_SIZE)
+        except OSError as exc:
+            raise _read_failed(exc) from exc
 
     async def read_head(self) -> ResponseHead:
         """Read the head of the final response, skipping informational ones (1xx)."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Response):
-                return ResponseHead(event.status_code, list(event.headers))
-            if not isinstance(event, h11.InformationalResponse):
-                raise HttpError("closed-early", sent=True)
+        return await self._responses.read_head()
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; raise `HttpError` when the body is truncated."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise HttpError("cut-short", sent=True)
+        while part := await self._responses.read_part():
+            yield part
 
     def prepare_for_reuse(self) -> bool:
         """Prepare for another exchange; return whether that is possible.
@@ -160,6 +119,7 @@
         if (self._h11.our_state, self._h11.their_state) != done:
             return False
         self._h11.start_next_cycle()
+        self._responses.begin()
         return not self.stale()
 
     def close(self) -> None:
@@ -169,6 +129,10 @@
             transport.abort()
 
 
+def _read_failed(exc: Exception) -> HttpError:
+    return HttpError("read-failed", sent=True, detail=repr(exc))
+
+
 class HttpClient:
     """Complete exchanges with one server over a few pooled connections.
 
@@ -245,7 +209,13 @@
             await conn.send_body(body)
         await conn.finish()
         head = await conn.read_head()
-        parts = [part async for part in conn.read_body()]
+        parts = []
+        size = 0
+        async for part in conn.read_body():
+            parts.append(part)
+            size += len(part)
+            if size > MAX_RESPONSE_BYTES:
+                raise HttpError("response-too-large", sent=True)
         return Response(head.status, head.headers, b"".join(parts))
 
     def close(self) -> None:
