An object without a key does not hide the resources beside it

Callers saw: nothing on the users' platform, which has no such kind. On the project's own daemon, one object of another writer whose name has no kind in it made each listing and watch of all resources fail (TypeError in _key). Change: it is left out and logged.

--- a/lacewingcross/platform_client.py
+++ b/lacewingcross/platform_client.py
@@ -4,6 +4,7 @@
 import uuid
 from dataclasses import dataclass
 
+from . import logs
 from .core.config import CONFIG_KINDS
 from .core.membership import HostInfo
 from .core.resources import object_key, split_key
@@ -253,6 +254,17 @@
 
 
 def _listing(kind: str, found: ApiObjects, wanted: tuple[str, ...]) -> Listing:
-    objects = [_stored(kind, item) for item in found.items]
+    objects = [_stored(kind, item) for item in found.items if _has_key(kind, item)]
     wanted_objects = [item for item in objects if split_key(item.key)[0] in wanted]
     return Listing(found.as_of.version, wanted_objects)
+
+
+def _has_key(kind: str, item: ApiObject) -> bool:
+    """Return whether an object has a name that this project gives to its objects.
+
+    Guards against another writer's object that makes a whole listing fail.
+    """
+    if kind != WATCHED_KIND or WATCHED_SEPARATOR in item.name:
+        return True
+    logs.event("store-item-unreadable", "ERROR", kind=kind, why=f"name {item.name}")
+    return False
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -91,6 +91,17 @@
     with_api(check)
 
 
+def test_an_object_without_a_key_does_not_hide_the_resources_beside_it():
+    # Guards against another writer's object of the kind that all hosts watch.
+    async def check(standin, _api, client):
+        standin.put("lacewingcross", "nokey", {"spec": {}})
+        await client.create("ShiftCap/booking", {"fraction": 0.1})
+        listed = await client.list("ShiftCap")
+        assert [item.key for item in listed.objects] == ["ShiftCap/booking"]
+
+    with_api(check)
+
+
 def test_a_watch_does_not_skip_changes_that_came_with_other_kinds():
     async def check(_standin, _api, client):
         first = await client.create("ShiftCap/booking", {"fraction": 0.1})
