--- a/lacewingcross/http1_response.py
+++ b/lacewingcross/http1_response.py
@@ -152,18 +152,7 @@
             raise HttpError(SURPLUS, sent=True)
 
     async def _next_event(self) -> h11.Event:
-        while True:
-            try:
-                event = self._parser.next_event()
-                if event is not h11.NEED_DATA:
-                    await self._take_turns()
-                    return event
-                self._parser.receive_data(await self._receive())
-            except h11.RemoteProtocolError as exc:
-                raise self._describe(exc) from exc
-
-    async def _take_turns(self) -> None:
-        """Let other tasks run after some events.
+        """Return the next event, and let other tasks run at intervals.
 
         Guards against a peer that sends many events at once: nothing is awaited while
         they are at hand, so the whole host would wait.
@@ -172,3 +161,9 @@
         if self._events_in_turn >= EVENTS_PER_TURN:
             self._events_in_turn = 0
             await asyncio.sleep(0)
+        try:
+            while (event := self._parser.next_event()) is h11.NEED_DATA:
+                self._parser.receive_data(await self._receive())
+        except h11.RemoteProtocolError as exc:
+            raise self._describe(exc) from exc
+        return event
