Test: look for retries in the busiest window, not the worst one

Cause: the test takes the window with the highest excess of repeats over the allowance, and asks it for 32 repeats, to show that retries were wanted. The allowance grows with the requests, so an empty window has a higher excess (-64) than one with 76 repeats of 500 requests (-88). Beside load restarted hosts earn so few retries; the test then fails though the limit held and retries were made. Change: the limit is checked as before, on the worst window; the 32 repeats are asked of the window with the most. Neither bound changes.

--- a/tests/test_retries_processes.py
+++ b/tests/test_retries_processes.py
@@ -10,7 +10,7 @@
 from bench.soak.callers import Callers, PlannedRequest
 from bench.soak.faults import inject_faults
 from bench.soak.ledger import DEADLINE_S
-from bench.soak.retries import RETRY_EXTRA, arrivals_of, worst_window
+from bench.soak.retries import RETRY_EXTRA, arrivals_of, windows, worst_window
 from bench.soak.run import START_UP_S
 from bench.soak.schedule import Fault
 from bench.soak.world import World
@@ -65,4 +65,5 @@
     worst = worst_window(requests["calendar"], repeats["calendar"])
     assert worst.excess() <= 0, worst
     # Servers that shed everything leave no doubt that retries were wanted.
-    assert worst.repeats >= RETRY_EXTRA / 2
+    found = windows(requests["calendar"], repeats["calendar"])
+    assert max(window.repeats for window in found) >= RETRY_EXTRA / 2
