Faults before a request has a route, and requests of a leaving host by their usual time

A later attempt that timed out after a fault was taken for a fault again. And a leaving host refused a request unless twice the 98th percentile of its kind was left: with the time limits of the largest deployment that is each booking from the SIGTERM on. Change: the whole run of a request answers a fault, 503 as not run or 502. Only an attempt that failed to connect by a fault counts as one. A quarter more than the 98th percentile is enough; that figure was chosen, not measured.

--- a/lacewingcross/core/shutdown.py
+++ b/lacewingcross/core/shutdown.py
@@ -14,9 +14,8 @@
 # seconds. By then callers have had two lifetimes of a look-up to learn of the shutdown.
 # Later only requests whose deadline is early enough are taken.
 USUAL_TIME_COUNTS_S = 2.9
-# A request is taken if this many times the usual time of its kind is left: it may wait
-# for a slot, and for another attempt.
-USUAL_TIME_FACTOR = 2.0
+# A request is taken if this many times the usual time of its kind is left.
+USUAL_TIME_FACTOR = 1.25
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingcross/gateway/attempt_feedback.py
+++ b/lacewingcross/gateway/attempt_feedback.py
@@ -104,10 +104,12 @@
     elif ending is Ending.CONNECT_FAILED and result.failure_reason in CONNECT_FAILURES:
         health.unreachable(result.attempt_id, now)
         _check_path(gateway, choice, result)
-    elif result.failure_reason == INTERNAL_ERROR and not result.caller_gone:
+    elif result.caller_gone:
+        health.abandoned(result.attempt_id)
+    elif ending is Ending.CONNECT_FAILED and result.failure_reason == INTERNAL_ERROR:
         # Perhaps this server alone causes the fault, so others are tried first.
         health.failed(result.attempt_id, now)
-    elif ending is Ending.CONNECT_FAILED or result.caller_gone:
+    elif ending is Ending.CONNECT_FAILED:
         health.abandoned(result.attempt_id)
     elif ending in (Ending.TIMED_OUT, Ending.CANCELLED):
         if placement.silence.trial_failed(server, now):
--- a/lacewingcross/gateway/request.py
+++ b/lacewingcross/gateway/request.py
@@ -59,6 +59,16 @@
 
     async def run(self) -> None:
         """Answer the request, or log why no answer was sent."""
+        try:
+            await self._run()
+        except CallerGoneError:
+            raise
+        except Exception as exc:
+            # A fault of this host must not cost the request its answer.
+            note_fault(self._gateway.metrics, self._reply.request_id, exc)
+            await self._reply.finish(self._fault_answer())
+
+    async def _run(self) -> None:
         try:
             frame = read_frame(self._exchange)
         except FrameError as exc:
@@ -96,9 +106,6 @@
                 await self._serve(req)
         except CallerGoneError:
             self._reply.log_end("caller-gone")
-        except Exception as exc:
-            note_fault(self._gateway.metrics, frame.request_id, exc)
-            await self._reply.finish(self._fault_answer())
         except asyncio.CancelledError:
             if not self._series.caller_gone:
                 raise
@@ -187,7 +194,7 @@
 
     def _fault_answer(self) -> HostAnswer:
         """Return the answer to a request that a fault of this host has ended."""
-        if self._series.may_have_run:
+        if self._series is not None and self._series.may_have_run:
             return HostAnswer(502, INTERNAL_ERROR)
         return HostAnswer(503, INTERNAL_ERROR, FAULT_RETRY_S)
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,7 +1,9 @@
 """What callers get when a fault of the host itself ends an attempt or a request."""
 
+import pytest
+
+from lacewingcross.gateway import attempt_series, request
 from lacewingcross.gateway.backend_connection import BackendConnection
-from lacewingcross.gateway.request import RequestRun
 from tests.gateway_parts import answers_at_once, ask, fleet, until
 from tests.test_gateway import in_loop
 
@@ -59,13 +61,16 @@
         assert later < 5
 
 
+@pytest.mark.parametrize("step", ["read_frame", "check_request", "AttemptSeries"])
 @in_loop
-async def test_a_fault_before_any_server_is_reached_is_refused_as_not_run(monkeypatch):
+async def test_a_fault_before_any_server_is_reached_is_refused_as_not_run(
+    monkeypatch, step
+):
     # Guards against a caller that may not repeat its booking though it has not run.
-    def fails(self, req):
+    def fails(*_args):
         raise RuntimeError("a fault")
 
-    monkeypatch.setattr(RequestRun, "_serve", fails)
+    monkeypatch.setattr(request, step, fails)
     async with fleet() as env:
         env.configure()
         server = await env.add_server(answers_at_once)
@@ -74,3 +79,19 @@
         assert got.status == 503
         assert b"internal-error" in got.body
         assert server.requests == []
+
+
+@in_loop
+async def test_a_fault_after_the_first_byte_is_not_called_not_run(monkeypatch):
+    # Guards against a promise that a booking has not run, though it has.
+    def fails(*_args):
+        raise RuntimeError("a fault")
+
+    monkeypatch.setattr(attempt_series, "note_head", fails)
+    async with fleet() as env:
+        env.configure()
+        server = await env.add_server(answers_at_once)
+        app = await env.ready(await env.add_host())
+        got = await ask(app, "/unsafe/a", method="POST", body=b"x")
+        assert got.status == 502
+        assert len(server.requests) == 1
