Soak: another writer's objects, bytes without end, long work in planned stops

LOST is also broken by more than three connections that undisturbed hosts close unanswered; it excuses what the users' rule excuses.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -56,7 +56,8 @@
 class PlannedRequest:
     """A request to be sent.
 
-    `version` is the configuration version that it probes, or 0.
+    `version` is the configuration version that it probes, or 0, and `deadline_s` how
+    long its caller waits, in seconds.
     """
 
     kind: str
@@ -66,6 +67,7 @@
     body: bytes = b""
     version: int = 0
     account: str = UNLIMITED
+    deadline_s: float = DEADLINE_S
 
 
 class Callers:
@@ -244,7 +246,7 @@
         """Send one request; return the connection if it may be used again."""
         sent = self._record_sent(host, planned)
         try:
-            async with asyncio.timeout(DEADLINE_S + DEADLINE_SLACK_S):
+            async with asyncio.timeout(planned.deadline_s + DEADLINE_SLACK_S):
                 await _send(conn, planned, sent, str(self._rng.randrange(OBJECTS)))
                 head = await conn.read_head()
                 chunks = [chunk async for chunk in conn.read_body()]
@@ -308,7 +310,7 @@
 async def _send(
     conn: ClientConnection, planned: PlannedRequest, sent: Sent, key: str
 ) -> None:
-    deadline_ms = int(DEADLINE_S * 1000)
+    deadline_ms = int(planned.deadline_s * 1000)
     fields = [
         (b"host", HOST_NAME.encode()),
         (ph.REQUEST_ID, sent.request_id.encode()),
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,14 +4,13 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from .foreign import draw_objects
 from .proxy import FaultyProxy, LinkFault
 from .schedule import Fault
 from .server_path import Cut
 from .servers import SoakServer
 from .world import RESTART_S, SERVES_ON_S, Host, World
 
-# Seconds after SIGTERM at which the users' platform kills a process that still runs.
-GRACE_S = 6.0
 # Length of an outage of all hosts, in seconds. It is short, because callers should be
 # served during most of a run.
 KILL_ALL_OUTAGE_S = 1.0
@@ -75,9 +74,10 @@
 async def _host_term(world: World, fault: Fault) -> None:
     host = _host(world, fault)
     proc = host.proc
-    world.record_disturbance(host, fault.kind, GRACE_S + RESTART_S)
+    grace_s = world.ledger.grace_s
+    world.record_disturbance(host, fault.kind, grace_s + RESTART_S)
     world.signal(host, signal.SIGTERM)
-    await asyncio.sleep(GRACE_S)
+    await asyncio.sleep(grace_s)
     if proc.poll() is None:
         world.record_disturbance(host, "host-kill", 1.0)
         proc.kill()
@@ -242,6 +242,15 @@
     world.ledger.store_disturbances.add(began_at, world.now(), fault.kind)
 
 
+async def _foreign_objects(world: World, fault: Fault) -> None:
+    """Let another program store objects that hosts cannot use, and leave them there.
+
+    Nothing is excused by them.
+    """
+    for kind, name, spec in draw_objects(fault.target):
+        world.store.put(kind, name, spec)
+
+
 async def _accept_new_version(world: World, _fault: Fault) -> None:
     world.accept_new_version()
 
@@ -289,6 +298,9 @@
     "server-garble": _set_behaviour(garbled_share=0.3),
     "server-slow": _set_behaviour(service_time_factor=5.0),
     "server-shed": _set_behaviour(shed=True),
+    "server-endless-interim": _set_behaviour(endless="interim"),
+    "server-endless-surplus": _set_behaviour(endless="surplus"),
+    "server-endless-stray": _set_behaviour(endless="stray"),
     "server-limit": _server_limit,
     "server-rest": _server_back_off,
     "server-leaving-word": _server_announces_leaving,
@@ -300,6 +312,7 @@
     "store-lost-writes": _store(lost_writes=True),
     "store-compact": _store_compact,
     "store-restore": _store_restore,
+    "foreign-objects": _foreign_objects,
     "evacuate": _evacuate,
     "change": _accept_new_version,
     "kill-all": _kill_all,
--- a/bench/soak/ledger.py
+++ b/bench/soak/ledger.py
@@ -31,10 +31,18 @@
 # Kind and target of a read that crashes each server which begins to run it.
 CRASHING = "bad"
 CRASHING_TARGET = "/calendar/ends-servers"
+# Kind of bookings that take longer than usual, and may take longer than a stop.
+LONG = "long"
+# A request that was sent at most this long after the SIGTERM may be cut in the last
+# part of the time that a host has to end.
+CUT_IF_SENT_S = 3.0
+LAST_PART = 5 / 6
 REPEATABLE = ("read", CRASHING, POPULAR)
 # How many more runs of a request undisturbed hosts may cause later than `STABLE_S`
 # after the crash that quarantines it.
 MAX_LATE_CRASHES = 3
+# Connections that undisturbed hosts may close without an answer to the request on them.
+MAX_CUT_UNDISTURBED = 3
 # Time bounds are judged only while the soak's own event loop is late by at most this
 # many seconds.
 MAX_LOOP_LAG_S = 0.25
@@ -154,6 +162,8 @@
         Time and lag in seconds whenever the soak's own event loop was late.
     unexpected_exits : list of tuple
         Time, host and exit code of each process that exited without a fault.
+    grace_s : float
+        How long after SIGTERM a host that still runs is killed, in seconds.
     calm_from, calm_to : float
         The undisturbed period at the end, in which reads must succeed.
     unjudged : int
@@ -178,6 +188,7 @@
     loop_lags: list[tuple[float, float]] = field(default_factory=list)
     unexpected_exits: list[tuple[float, int, int]] = field(default_factory=list)
     signals: SignalLedger = field(default_factory=SignalLedger)
+    grace_s: float = 6.0
     calm_from: float = float("inf")
     calm_to: float = float("inf")
     unjudged: int = 0
@@ -191,6 +202,7 @@
             found += self._run_violations(runs)
         found += configuration_violations(self)
         found += retry_violations(self)
+        found += self._cut_violations()
         found += self._recovery_violations()
         found += self._crash_violations()
         found += popular_violations(self)
@@ -226,7 +238,12 @@
             )
         if reply.failure == "held" and self._loop_was_on_time(sent.at, reply.at):
             found.append(self._violation("HELD", reply, "no answer by its deadline"))
-        if reply.failure == "cut" and ran and self._only_terminated(sent, reply):
+        if (
+            reply.failure == "cut"
+            and ran
+            and self._only_terminated(sent, reply)
+            and not self._may_be_cut(sent, reply)
+        ):
             found.append(self._violation("LOST", reply, "cut by a planned stop"))
         return found
 
@@ -245,6 +262,16 @@
             "host-term"
         }
 
+    def _may_be_cut(self, sent: Sent, reply: Reply) -> bool:
+        """Return whether a stop may cut a request, see `CUT_IF_SENT_S`."""
+        return any(
+            start <= reply.at <= stop
+            and sent.at <= start + CUT_IF_SENT_S
+            and reply.at >= start + LAST_PART * self.grace_s
+            for start, stop, cause in self.host_disturbances[sent.host].periods
+            if cause == "host-term"
+        )
+
     def _run_violations(self, runs: list[Run]) -> list[Violation]:
         found = []
         for run in runs:
@@ -358,6 +385,24 @@
         """Return whether host and store were undisturbed when a request was sent."""
         return self._undisturbed(sent.host, sent.at, sent.at)
 
+    def _cut_violations(self) -> list[Violation]:
+        """Return a violation if undisturbed hosts left several callers unanswered."""
+        cut = [
+            reply
+            for reply in self.replies
+            if reply.failure == "cut" and self._was_undisturbed(reply)
+        ]
+        if len(cut) <= MAX_CUT_UNDISTURBED:
+            return []
+        text = f"{len(cut)} connections closed without an answer by undisturbed hosts"
+        return [Violation("LOST", cut[MAX_CUT_UNDISTURBED].at, text)]
+
+    def _was_undisturbed(self, reply: Reply) -> bool:
+        """Return whether nothing disturbed the host of a request until its end."""
+        sent = self.sent[reply.request_id]
+        disturbances = self.host_disturbances[sent.host]
+        return not disturbances.causes_near(sent.at, reply.at)
+
     def _recovery_violations(self) -> list[Violation]:
         status_of = {reply.request_id: reply.status for reply in self.replies}
         statuses = [
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -10,6 +10,7 @@
 from .callers import Callers
 from .faults import inject_faults
 from .ledger import Ledger, Violation
+from .long_work import GRACE_S, draw_stops, has_long_work, send_long_work
 from .paces import change_paces, has_uneven_pace
 from .schedule import Fault, draw_faults
 from .surge import RETURN_S, has_surges, repeat_surges
@@ -100,6 +101,9 @@
     rng = random.Random(seed)
     faults = draw_faults(seed, size.length_s, size.faults_per_s)
     world = World(directory, rng)
+    if has_long_work(seed):
+        faults = sorted([*faults, *draw_stops(seed)], key=lambda fault: fault.at)
+        world.ledger.grace_s = GRACE_S
     await world.start(size.hosts, size.servers)
     callers = []
     try:
@@ -108,6 +112,9 @@
         callers = sender.tasks(size.callers)
         if has_uneven_pace(seed):
             callers.append(asyncio.ensure_future(change_paces(world, seed)))
+        if has_long_work(seed):
+            sending = send_long_work(sender, world, seed)
+            callers.append(asyncio.ensure_future(sending))
         if has_surges(seed):
             surges = asyncio.ensure_future(repeat_surges(sender, world, seed))
             callers.append(surges)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -51,6 +51,15 @@
 # follow each other at different hosts and overlap.
 CUT_KINDS = ("server-path-hang", "server-path-refuse", "server-path-refuse-new")
 CUTS_PER_FAULT = 0.25
+# Objects of another writer, and servers that send bytes without end. These faults are
+# drawn separately too.
+FOREIGN_KINDS = (
+    "foreign-objects",
+    "server-endless-interim",
+    "server-endless-surplus",
+    "server-endless-stray",
+)
+FOREIGN_PER_FAULT = 0.25
 FLEET_KINDS = (
     "store-busy",
     "store-many",
@@ -112,7 +121,9 @@
     rng = random.Random(f"restores-{seed}")
     faults += _draw_restores(rng, length_s, per_s * RESTORES_PER_FAULT)
     rng = random.Random(f"cuts-{seed}")
-    faults += _draw_cuts(rng, length_s, per_s * CUTS_PER_FAULT)
+    faults += _draw_each(rng, CUT_KINDS, length_s, per_s * CUTS_PER_FAULT)
+    rng = random.Random(f"foreign-{seed}")
+    faults += _draw_each(rng, FOREIGN_KINDS, length_s, per_s * FOREIGN_PER_FAULT)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -125,10 +136,12 @@
         yield Fault(at, kind, rng.randrange(1 << 16), for_s)
 
 
-def _draw_cuts(rng: random.Random, length_s: float, per_s: float) -> Iterator[Fault]:
-    """Yield at least one cut of each kind."""
-    for index in range(max(len(CUT_KINDS), round(length_s * per_s))):
-        kind = CUT_KINDS[index % len(CUT_KINDS)]
+def _draw_each(
+    rng: random.Random, kinds: tuple[str, ...], length_s: float, per_s: float
+) -> Iterator[Fault]:
+    """Yield at least one fault of each kind."""
+    for index in range(max(len(kinds), round(length_s * per_s))):
+        kind = kinds[index % len(kinds)]
         at = UNDISTURBED_START_S + rng.uniform(0.0, length_s)
         yield Fault(at, kind, rng.randrange(1 << 16), rng.uniform(1.0, MAX_FAULT_S))
 
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -20,6 +20,25 @@
 # servers.
 MAX_WAITING = 3 * SLOTS
 SERVICE_TIME_S = 0.06
+# Target of bookings that say how long their work takes; the milliseconds follow.
+LONG_TARGET = "/long/"
+# What a server sends without end, by the name of the behaviour: what comes first, and
+# what follows. An id stands for ``%s``.
+ENDLESS = {
+    "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 200),
+    "surplus": (
+        b"HTTP/1.1 200 OK\r\nX-Lacewingcross-Request-Id: %s\r\n"
+        b"Content-Length: 2\r\n\r\nok",
+        b"x" * 16384,
+    ),
+    "stray": (
+        b"HTTP/1.1 200 OK\r\nX-Lacewingcross-Request-Id: other\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"4000\r\n" + b"x" * 0x4000 + b"\r\n",
+    ),
+}
+ENDLESS_PAUSE_S = 0.005
+MAX_UNSENT_BYTES = 1 << 18
 # Target of long work, of which surges consist, and the factor on its service time.
 SURGE_TARGET = "/calendar/report"
 SURGE_SERVICE_TIME_FACTOR = 5.0
@@ -54,6 +73,9 @@
         Announce in responses that the server is draining; the store gets no report.
     back_off_s : float
         Refuse all requests and request this back-off, in seconds; 0 for none.
+    endless : str
+        Run no request, and send what `ENDLESS` names until the connection is closed;
+        empty for none.
     """
 
     service_time_factor: float = 1.0
@@ -66,6 +88,7 @@
     limit: float | None = None
     announces_leaving: bool = False
     back_off_s: float = 0.0
+    endless: str = ""
 
 
 @dataclass(slots=True)
@@ -141,6 +164,9 @@
         if expected and expected != self.server_id:
             await exchange.respond(421, [(ph.NOT_RUN, b"1")], b"")
             return
+        if self.behaviour.endless:
+            await self._send_without_end(exchange, request_id)
+            return
         signals = self.ledger.signals.by_server[self.server_id]
         sent = self.ledger.sent[request_id]
         signals.arrivals.append(Arrival(self.now(), sent.host, sent.at))
@@ -162,6 +188,15 @@
         finally:
             self._slots.release()
 
+    async def _send_without_end(self, exchange: Exchange, request_id: str) -> None:
+        first, rest = ENDLESS[self.behaviour.endless]
+        transport = exchange._conn.transport
+        transport.write(first.replace(b"%s", request_id.encode()))
+        while not exchange.gone:
+            if transport.get_write_buffer_size() < MAX_UNSENT_BYTES:
+                transport.write(rest)
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+
     def _signals(self, request_id: str) -> hd.HeaderList:
         """Return the signal headers of a response, and record them in the ledger."""
         signals = self.ledger.signals.by_server[self.server_id]
@@ -212,7 +247,10 @@
             factor = self.behaviour.service_time_factor * pace * jitter
             if run.target == SURGE_TARGET:
                 factor *= SURGE_SERVICE_TIME_FACTOR
-            await asyncio.sleep(SERVICE_TIME_S * factor)
+            work_s = SERVICE_TIME_S * factor
+            if run.target.startswith(LONG_TARGET):
+                work_s = int(run.target.removeprefix(LONG_TARGET)) / 1000
+            await asyncio.sleep(work_s)
         finally:
             self._busy -= 1
         if self.rng.random() < self.behaviour.lost_share:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -21,21 +21,24 @@
 from lacewingcross.embedded import free_ports
 from lacewingcross.gateway.settings import GatewaySettings
 from lacewingcross.platform.objects import KIND_PATHS
-from lacewingcross.standins.object_store import Backup, ObjectStoreStandin
+from lacewingcross.standins.object_store import Backup
 
 from .accounts import stored_accounts
+from .foreign import StoreWithForeignObjects
 from .host_process import PROXY_VARIABLE
 from .ledger import Ledger
 from .popular import QUARANTINE_DELAY_S, PopularRequest
 from .proxy import FaultyProxy
 from .server_path import ServerPath
-from .servers import ServerBehaviour, SoakServer
+from .servers import LONG_TARGET, ServerBehaviour, SoakServer
 
 QUARANTINES = KIND_PATHS[Kind.QUARANTINE]
 HOST_NAME = "a.example"
 REGION_OF = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 DOMAINS = tuple(REGION_OF)
-BOUNDS = {"drain_s": 2.5, "grace_s": 6, "config_apply_s": 2.5, "evacuation_s": 5}
+BOUNDS = {"drain_s": 2.5, "config_apply_s": 2.5, "evacuation_s": 5}
+# Timeout of the route of long work, in seconds.
+LONG_TIMEOUT_S = 12.0
 # The store drops the entry of a server after three missed heartbeats, as the users'
 # platform does.
 HEARTBEAT_S = 1.5
@@ -101,7 +104,7 @@
     servers: list[SoakServer] = field(default_factory=list)
     host_by_entry: dict[str, int] = field(default_factory=dict)
     version: int = 0
-    store: ObjectStoreStandin | None = None
+    store: StoreWithForeignObjects | None = None
     _started_at: float = field(default_factory=time.monotonic)
     _servers_started: int = 0
     _ports: Iterator[int] = field(default_factory=free_ports)
@@ -117,7 +120,7 @@
 
     async def start(self, hosts: int, servers: int) -> None:
         """Start the store, the servers and the hosts."""
-        self.store = ObjectStoreStandin(time.monotonic)
+        self.store = StoreWithForeignObjects(time.monotonic)
         port = await self.store.start()
         self.store.faults.late_writes_s[QUARANTINES] = QUARANTINE_DELAY_S
         self.store.faults.late_watches_s[QUARANTINES] = QUARANTINE_DELAY_S
@@ -188,7 +191,7 @@
         data = dataclasses.asdict(host.cfg)
         data["failure_domains"] = data.pop("region_of")
         data["processor_share"] = data.pop("cores")
-        data["bounds"] = {**BOUNDS, **bounds}
+        data["bounds"] = {**BOUNDS, "grace_s": self.ledger.grace_s, **bounds}
         host.settings.write_text(json.dumps(data))
 
     def _spawn(self, host: Host) -> None:
@@ -301,6 +304,7 @@
         read = {**route, "route_type": "safe", "service": "calendar"}
         booking = {**route, "route_type": "unsafe", "service": "booking"}
         upload = {**booking, "route_type": "upload"}
+        long_work = {**booking, "timeout_s": LONG_TIMEOUT_S}
         only = f"/only-{self.version}/"
         return {
             "version": f"r{self.version}",
@@ -308,6 +312,7 @@
                 "read": {**read, "path_prefix": "/calendar/"},
                 "booking": {**booking, "path_prefix": "/booking/"},
                 "upload": {**upload, "path_prefix": "/upload/"},
+                "long": {**long_work, "path_prefix": LONG_TARGET},
                 "only": {**read, "path_prefix": only},
             },
             "services": {
--- a/tests/test_soak_ledger.py
+++ b/tests/test_soak_ledger.py
@@ -218,6 +218,32 @@
     assert violated_rules(observed) == []
 
 
+def test_a_stop_may_cut_what_was_sent_early_and_lasts_to_its_end():
+    for sent_at, cut_at, broken in [
+        (12.0, 14.1, []),
+        (12.0, 13.9, ["LOST"]),
+        (12.1, 14.1, ["LOST"]),
+    ]:
+        observed = ledger()
+        add_sent(observed, at=sent_at)
+        add_run(observed, at=sent_at + 0.1)
+        add_reply(observed, status=0, at=cut_at, response_signature="", failure="cut")
+        observed.host_disturbances[0].add(9.0, 16.0, "host-term")
+        assert violated_rules(observed) == broken
+
+
+def test_connections_that_undisturbed_hosts_close_are_found():
+    observed = ledger()
+    for number in range(4):
+        name = f"q{number}"
+        assert violated_rules(observed) == []
+        add_sent(observed, name, kind="read")
+        add_reply(observed, name, status=0, response_signature="", failure="cut")
+    assert violated_rules(observed) == ["LOST"]
+    observed.host_disturbances[0].add(9.0, 16.0, "host-kill")
+    assert violated_rules(observed) == []
+
+
 def test_too_many_repeats_are_found():
     observed = ledger()
     for index in range(RETRY_EXTRA + 2):
