A watch that cannot be read ends in a listing, not in another host's watch

Cause: the response to a watch without a findable end counted as a failure of the store. The host stepped down, the next one watched from the same position and failed as well, and each forgot at rest that it had to read all objects. Found by reading. Change: such a response is treated like changes that the store no longer has: all objects are read next, by the same host. A listing that cannot be read is still a failure.

--- a/lacewingcross/gateway/store_follower.py
+++ b/lacewingcross/gateway/store_follower.py
@@ -227,21 +227,21 @@
         await asyncio.sleep(REVIEW_INTERVAL_S if has_data else EMPTY_REVIEW_INTERVAL_S)
 
     async def _call_store(self) -> None:
+        must_list = self._must_list()
         try:
-            if self._must_list():
-                await self._list()
-            else:
-                await self._watch()
+            await (self._list() if must_list else self._watch())
             self._follower.note_success()
         except PlatformError as exc:
             if exc.code == "compacted":
                 self._must_relist = True
                 logs.event("store-compacted", kind=self._kind.name)
-                return
-            if exc.code == "unreadable":
+            elif exc.code == "unreadable" and not must_list:
+                # No other host can read these changes either.
                 self._must_relist = True
-            self._follower.note_failure(self._kind, exc)
-            await self._backoff.wait()
+                logs.event("store-changes-unreadable", "ERROR", kind=self._kind.name)
+            else:
+                self._follower.note_failure(self._kind, exc)
+                await self._backoff.wait()
 
     def _must_list(self) -> bool:
         has_data = self._follower.has_data(self._kind)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -173,6 +173,25 @@
     assert replica.as_of(Kind.SERVER) == StorePosition(2, 3)
 
 
+def test_changes_that_no_host_can_read_are_no_failure_of_the_store():
+    # Guards against hosts that take turns with changes which none of them can read,
+    # and of which none reads all objects.
+    replica = Replica()
+    store = ScriptedStore(list_at(9), watch_unreadable)
+    replica.apply(list_at(3)(store, Kind.SERVER))
+    gateway = gateway_with(replica)
+    follower = StoreFollower(gateway, store, lambda update: None)
+
+    async def run():
+        watching = asyncio.ensure_future(follower.watch_loop(Kind.SERVER)())
+        await asyncio.sleep(0.3)
+        watching.cancel()
+
+    asyncio.run(run())
+    assert replica.as_of(Kind.SERVER) == StorePosition(1, 9)
+    assert not gateway.watch_election.store_unreachable(time.monotonic())
+
+
 @pytest.mark.parametrize("watch", [watch_unreadable, watch_fails])
 def test_a_host_gets_past_changes_that_it_cannot_apply(watch):
     # Guards against a host that watches from the same position and fails for ever.
