An error about home regions does not show what stands there

In an account it may be a misplaced API key. Change: the error names the field and what is expected. Result: two cases of test_an_account_that_cannot_be_read_is_refused_without_its_key fail without the change and pass with it.

--- a/lacewingcross/platform/objects.py
+++ b/lacewingcross/platform/objects.py
@@ -87,7 +87,7 @@
 def _text(data: dict, field: str) -> str:
     value = data[field]
     if not isinstance(value, str):
-        raise TypeError(f"{field}: expected a string, got {value!r:.80}")
+        raise TypeError(f"{field}: expected a string, got {type(value).__name__}")
     return value
 
 
@@ -95,7 +95,8 @@
     """Return the home regions of a route or account; none if the field is empty."""
     value = data.get("home_regions") or []
     if not isinstance(value, list) or not all(isinstance(r, str) for r in value):
-        raise TypeError(f"home_regions: expected strings, got {value!r:.80}")
+        # The error must not contain the value, which may be a misplaced key.
+        raise TypeError("home_regions: expected a list of strings")
     return frozenset(value)
 
 
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -98,6 +98,8 @@
         {"api_keys": ["secret"], "rate_per_s": float("inf")},
         {"api_keys": ["secret"], "priority": -1},
         {"api_keys": ["secret"], "priority": True},
+        {"api_keys": ["k"], "home_regions": "secret"},
+        {"api_keys": ["k"], "home_regions": ["secret", 7]},
         "secret",
     ],
 )
