--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import time
 from dataclasses import dataclass, field
@@ -29,6 +30,25 @@
     return f"127.0.0.1:{free_port()}"
 
 
+def in_loop(test):
+    """Run a coroutine test with a time limit."""
+
+    @functools.wraps(test)
+    def run(*args, **kwargs):
+        async def bounded():
+            async with asyncio.timeout(30):
+                await test(*args, **kwargs)
+
+        asyncio.run(bounded())
+
+    return run
+
+
+def header(response, name):
+    values = [value for key, value in response.headers if key.lower() == name.encode()]
+    return values[0].decode() if values else ""
+
+
 async def until(condition, limit_s=10.0):
     """Wait until a condition holds; fail the test after `limit_s` seconds."""
     deadline = time.monotonic() + limit_s
--- a/tests/test_accounts_gateway.py
+++ b/tests/test_accounts_gateway.py
@@ -3,8 +3,7 @@
 import asyncio
 
 from lacewingcross import logs
-from tests.gateway_parts import answers_at_once, ask, fleet, until
-from tests.test_gateway import header, in_loop
+from tests.gateway_parts import answers_at_once, ask, fleet, header, in_loop, until
 
 KEY = "h4jcda9rgy35ieispuxs"
 OTHER_KEY = "r7i427eya6u6sz9frge9"
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -17,9 +17,8 @@
 from lacewingcross.core.policy import Policy
 from lacewingcross.core.routes import Service
 from lacewingcross.gateway.gauges import measure_host
-from tests.gateway_parts import answers_at_once, ask, fleet
+from tests.gateway_parts import answers_at_once, ask, fleet, in_loop
 from tests.load_player import Kind, LoadPlayer
-from tests.test_gateway import in_loop
 
 TARGET_S = 0.4
 
--- a/tests/test_answer_signals.py
+++ b/tests/test_answer_signals.py
@@ -8,8 +8,7 @@
 from lacewingcross.core.server_signals import NO_SIGNALS
 from lacewingcross.platform.answer_signals import read_signals
 from lacewingcross.wire import decode, encode
-from tests.gateway_parts import answer, ask, fleet
-from tests.test_gateway import in_loop
+from tests.gateway_parts import answer, ask, fleet, in_loop
 
 
 @pytest.mark.parametrize(("text", "rate"), [(b"7.6", 7.6), (b"0", 0.0), (b" 12 ", 12)])
--- a/tests/test_attempt_feedback.py
+++ b/tests/test_attempt_feedback.py
@@ -1,7 +1,6 @@
 """What a host assumes about servers after attempts that no server has answered."""
 
-from .gateway_parts import answer, answers_at_once, ask, fleet, until
-from .test_gateway import in_loop
+from .gateway_parts import answer, answers_at_once, ask, fleet, in_loop, until
 
 
 async def belongs_to_another(received, writer):
--- a/tests/test_cleared_quarantines.py
+++ b/tests/test_cleared_quarantines.py
@@ -6,8 +6,7 @@
 import pytest
 
 from .crashing_servers import CrashingServers, crashing_servers
-from .gateway_parts import answer, ask, fleet, until
-from .test_gateway import in_loop
+from .gateway_parts import answer, ask, fleet, in_loop, until
 
 KIND = "quarantined-requests"
 POPULAR = "/safe/popular"
--- a/tests/test_connections_given_back.py
+++ b/tests/test_connections_given_back.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from tests.gateway_parts import ID, answer, answers_at_once, ask, fleet, until
-from tests.test_gateway import in_loop
+from tests.gateway_parts import ID, answer, answers_at_once, ask, fleet, in_loop, until
 
 REQUESTS = 40
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -7,8 +7,7 @@
 import pytest
 
 from .crashing_servers import crashing_servers
-from .gateway_parts import answer, ask, fleet, until
-from .test_gateway import header, in_loop
+from .gateway_parts import answer, ask, fleet, header, in_loop, until
 
 # The users' bound: hosts that are connected may go on sending such a request for this
 # long after it has crashed its third server, in seconds.
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -9,8 +9,16 @@
 from lacewingcross.checks import split_address
 from lacewingcross.gateway.backend_connection import MAX_UNREAD_BYTES
 from lacewingcross.http1_client import HttpClient, HttpError
-from tests.gateway_parts import ID, answer, answers_at_once, ask, fleet, headers, until
-from tests.test_gateway import in_loop
+from tests.gateway_parts import (
+    ID,
+    answer,
+    answers_at_once,
+    ask,
+    fleet,
+    headers,
+    in_loop,
+    until,
+)
 
 CHUNK = 32 * 1024
 # Largest number of bytes that a transport reads at once.
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,8 +4,7 @@
 
 from lacewingcross.gateway import attempt_series, request
 from lacewingcross.gateway.backend_connection import BackendConnection
-from tests.gateway_parts import answers_at_once, ask, fleet, until
-from tests.test_gateway import in_loop
+from tests.gateway_parts import answers_at_once, ask, fleet, in_loop, until
 
 ODD_ADDRESSES = ["\ufffd\ufffd\ufffd:8080", "127.0.0.1:99999", "name.example:80"]
 
--- a/tests/test_gossip_sender.py
+++ b/tests/test_gossip_sender.py
@@ -8,8 +8,7 @@
 from lacewingcross.gateway.gossip_sender import changed_counts
 from lacewingcross.gateway.link import MAX_QUEUED_FRAMES
 from lacewingcross.wire import encode
-from tests.gateway_parts import answers_at_once, fleet, until
-from tests.test_gateway import in_loop
+from tests.gateway_parts import answers_at_once, fleet, in_loop, until
 
 COUNTS = st.dictionaries(st.sampled_from("abcd"), st.integers(1, 5))
 
--- a/tests/test_leaving_entries.py
+++ b/tests/test_leaving_entries.py
@@ -4,8 +4,7 @@
 
 from lacewingcross.gateway import host_directory
 
-from .gateway_parts import answers_at_once, fleet, until
-from .test_gateway import in_loop
+from .gateway_parts import answers_at_once, fleet, in_loop, until
 
 KIND = "entry-hosts"
 # Delay of the registration, in seconds.
--- a/tests/test_leaving_gateway.py
+++ b/tests/test_leaving_gateway.py
@@ -5,8 +5,7 @@
 from lacewingcross.gateway import app as gateway_app
 from lacewingcross.http1_client import ClientConnection
 from lacewingcross.http1_connection import ServerConnection
-from tests.gateway_parts import answer, fleet, headers
-from tests.test_gateway import in_loop
+from tests.gateway_parts import answer, fleet, headers, in_loop
 
 
 @in_loop
--- a/tests/test_leaving_word_gateway.py
+++ b/tests/test_leaving_word_gateway.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-from tests.gateway_parts import answer, answers_at_once, ask, fleet, until
-from tests.test_gateway import in_loop
+from tests.gateway_parts import answer, answers_at_once, ask, fleet, in_loop, until
 from tests.test_rate_limits_gateway import hosts_ready, send_for
 
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -3,8 +3,7 @@
 import asyncio
 
 from lacewingcross.checks import split_address
-from tests.gateway_parts import answer, fleet
-from tests.test_gateway import in_loop
+from tests.gateway_parts import answer, fleet, in_loop
 
 
 def request(path, request_id):
--- a/tests/test_quotas_gateway.py
+++ b/tests/test_quotas_gateway.py
@@ -3,9 +3,8 @@
 import asyncio
 
 from lacewingcross.gateway.settings import Bounds
-from tests.gateway_parts import answers_at_once, ask, fleet, until
+from tests.gateway_parts import answers_at_once, ask, fleet, header, in_loop, until
 from tests.test_accounts_gateway import KEY, bearer
-from tests.test_gateway import header, in_loop
 
 
 def accounts(rate, burst):
--- a/tests/test_rate_limits_gateway.py
+++ b/tests/test_rate_limits_gateway.py
@@ -12,9 +12,10 @@
     ask,
     fleet,
     free_address,
+    header,
+    in_loop,
     until,
 )
-from tests.test_gateway import header, in_loop
 
 # Length of the windows in which arrivals at a server are counted, in seconds.
 WINDOW_S = 4.0
--- a/tests/test_restored_hosts.py
+++ b/tests/test_restored_hosts.py
@@ -2,8 +2,7 @@
 
 from lacewingcross.gateway import host_directory
 
-from .gateway_parts import fleet, until
-from .test_gateway import in_loop
+from .gateway_parts import fleet, in_loop, until
 from .test_restored_store_gateway import restore
 from .test_standby import mixed_fleet
 
--- a/tests/test_restored_quarantines.py
+++ b/tests/test_restored_quarantines.py
@@ -5,8 +5,7 @@
 from lacewingcross.core.replica import Kind
 from lacewingcross.platform.object_api import CALL_TIMEOUT_S
 
-from .gateway_parts import fleet, until
-from .test_gateway import in_loop
+from .gateway_parts import fleet, in_loop, until
 from .test_restored_store_gateway import restore, started
 
 KIND = "quarantined-requests"
--- a/tests/test_restored_store_gateway.py
+++ b/tests/test_restored_store_gateway.py
@@ -6,8 +6,7 @@
 from lacewingcross.core.watch_election import MAX_SILENCE_TIMEOUT_S
 from lacewingcross.platform.objects import KIND_PATHS
 
-from .gateway_parts import answers_at_once, fleet, until
-from .test_gateway import in_loop
+from .gateway_parts import answers_at_once, fleet, in_loop, until
 
 # Time within which a configuration has to be in force and a leaving server left, in
 # seconds.
--- a/tests/test_return_times.py
+++ b/tests/test_return_times.py
@@ -23,9 +23,8 @@
 from lacewingcross.core.quotas.ledger import Outcome, QuotaLedger
 from lacewingcross.gateway.gauges import measure_host
 
-from .gateway_parts import answer, ask, fleet
+from .gateway_parts import answer, ask, fleet, header, in_loop
 from .load_player import Kind, LoadPlayer
-from .test_gateway import header, in_loop
 
 FULL = ServiceLoad(120, 100, 0)
 HALF_FREE = ServiceLoad(50, 100, 50)
--- a/tests/test_server_backoffs_gateway.py
+++ b/tests/test_server_backoffs_gateway.py
@@ -3,8 +3,15 @@
 import asyncio
 import time
 
-from tests.gateway_parts import answer, answers_at_once, ask, fleet, until
-from tests.test_gateway import header, in_loop
+from tests.gateway_parts import (
+    answer,
+    answers_at_once,
+    ask,
+    fleet,
+    header,
+    in_loop,
+    until,
+)
 from tests.test_leaving_word_gateway import known_servers
 from tests.test_rate_limits_gateway import hosts_ready, send_for
 
--- a/tests/test_server_paces_gateway.py
+++ b/tests/test_server_paces_gateway.py
@@ -15,8 +15,7 @@
 from lacewingcross.settings import BackendSettings
 from lacewingcross.standins.backend import BackendStandin
 from lacewingcross.wire import decode, encode
-from tests.gateway_parts import answer, ask, fleet, until
-from tests.test_gateway import in_loop
+from tests.gateway_parts import answer, ask, fleet, in_loop, until
 
 RUN = ("i-1", 0)
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -8,8 +8,7 @@
 
 from lacewingcross.core.shutdown import KILL_MARGIN_S, USUAL_TIME_COUNTS_S, Shutdown
 from lacewingcross.http1_client import HttpError
-from tests.gateway_parts import answer, ask, fleet, until
-from tests.test_gateway import in_loop
+from tests.gateway_parts import answer, ask, fleet, in_loop, until
 
 SECONDS = st.floats(0.0, 20.0)
 
--- a/tests/test_silence_gateway.py
+++ b/tests/test_silence_gateway.py
@@ -3,8 +3,7 @@
 import asyncio
 import itertools
 
-from .gateway_parts import answer, answers_at_once, ask, fleet, until
-from .test_gateway import in_loop
+from .gateway_parts import answer, answers_at_once, ask, fleet, in_loop, until
 
 KEYS = 24
 
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -4,8 +4,7 @@
 import json
 
 from .crashing_servers import crashing_servers
-from .gateway_parts import answers_at_once, ask, fleet, resolve, until
-from .test_gateway import in_loop
+from .gateway_parts import answers_at_once, ask, fleet, in_loop, resolve, until
 
 # Processor time of a large and of a small host, in cores.
 LARGE = 2.0
