Test: show by the hosts' logs that retries were wanted

Cause: 32 repeats in the busiest window depend on how many requests the run sends and on what restarted hosts have earned by then. Change: the limit is checked as before. That retries were wanted is shown by the retries that hosts have granted or refused: more than the allowance has beyond its share of the requests (64), which was 32 repeats before.

--- a/tests/test_retries_processes.py
+++ b/tests/test_retries_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import re
 from dataclasses import replace
 
 import pytest
@@ -10,7 +11,7 @@
 from bench.soak.callers import Callers, PlannedRequest
 from bench.soak.faults import inject_faults
 from bench.soak.ledger import DEADLINE_S
-from bench.soak.retries import RETRY_EXTRA, arrivals_of, windows, worst_window
+from bench.soak.retries import RETRY_EXTRA, arrivals_of, worst_window
 from bench.soak.run import START_UP_S
 from bench.soak.schedule import Fault
 from bench.soak.world import World
@@ -57,6 +58,12 @@
     return world.ledger
 
 
+def retries_wanted(directory):
+    """Return how many retries the hosts have granted or refused, by their logs."""
+    logs = (path.read_text() for path in directory.glob("host-*.log"))
+    return sum(len(re.findall("event=retry-(?:granted|refused) ", log)) for log in logs)
+
+
 @pytest.mark.parametrize("kills", KILLS.values(), ids=KILLS)
 def test_restarts_give_no_more_retries(tmp_path, kills):
     # Guards against a restarted host that retries as if it had sent no retries before.
@@ -64,6 +71,5 @@
     requests, repeats = arrivals_of(ledger)
     worst = worst_window(requests["calendar"], repeats["calendar"])
     assert worst.excess() <= 0, worst
-    # Servers that shed everything leave no doubt that retries were wanted.
-    found = windows(requests["calendar"], repeats["calendar"])
-    assert max(window.repeats for window in found) >= RETRY_EXTRA / 2
+    # More retries were wanted than the allowance has beyond its share of the requests.
+    assert retries_wanted(tmp_path) > RETRY_EXTRA
