Test: raw texts of stored objects in a module of their own

Why: the file on entries of other writers held 130 lines that only make texts. Change: they stand in raw_objects.py, with a line each on what they return.

--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -1,8 +1,6 @@
 """Entries of other writers: what one of them holds never changes what others say."""
 
 import asyncio
-import copy
-import functools
 import json
 
 import pytest
@@ -19,8 +17,10 @@
 from lacewingcross.platform.store import ObjectStore
 from lacewingcross.platform.stored_items import read_item, read_page
 from lacewingcross.wire import encode, read_message
-from tests.gateway_parts import Fleet
-from tests.test_steering import ENTRY, make_steering
+
+from .gateway_parts import Fleet
+from .raw_objects import DEEP, changes, item, odd_configuration, odd_object, page
+from .test_steering import ENTRY, make_steering
 
 HOST = {
     "region": "a",
@@ -29,53 +29,7 @@
     "peer": "10.0.0.1:2",
     "cores": 1.0,
 }
-DEEP = 2000
 REQUEST = PlacementRequest("calendar", "", frozenset(), False)
-ODD_VALUES = [
-    b"null",
-    b"true",
-    b"-1",
-    b"0",
-    b"1e999",
-    b"Infinity",
-    b"NaN",
-    b"1" + b"0" * 400,
-    b"9" * 5000,
-    b"-" + b"9" * 5000,
-    b"1.5",
-    b'""',
-    b'"x"',
-    b'"\\ud800"',
-    b'"\xff\xfe\xfd"',
-    b'"\xff\xfe\xfd:8080"',
-    b'"10.0.0.9:99999"',
-    b'"10.0.0.9:0"',
-    b'"10.0.0.9:' + b"9" * 5000 + b'"',
-    b'"name.example:80"',
-    b'"a\x00b"',
-    b'"a\\u0000b\\r\\nX: y"',
-    b'"' + b"x" * 70000 + b'"',
-    b"[" * DEEP + b"]" * DEEP,
-    b'{"a":' * DEEP + b"1" + b"}" * DEEP,
-    b"[" * 900 + b"]" * 900,
-    b"[]",
-    b"{}",
-    b"[1,2]",
-    b'{"a":1,"a":2}',
-]
-TEXT_BYTES = st.binary(max_size=20).map(
-    lambda data: b'"' + data.replace(b"\\", b"").replace(b'"', b"") + b'"'
-)
-JSON_VALUES = st.recursive(
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.floats()
-    | st.text(alphabet=st.characters(exclude_categories=())),
-    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
-    max_leaves=8,
-).map(lambda value: json.dumps(value).encode())
-VALUES = st.sampled_from(ODD_VALUES) | TEXT_BYTES | JSON_VALUES
 
 
 class CannedHttp:
@@ -91,36 +45,19 @@
         pass
 
 
-def item(name, revision, spec):
-    """Return the raw text of an object; `name` and `spec` are raw texts too."""
-    return (
-        b'{"metadata":{"name":%b,"revision":%b,"create_revision":1,"finalizers":[],'
-        b'"deleting":false},"spec":%b,"status":null}'
-    ) % (name, revision, spec)
-
-
-def raw_object(fields):
-    members = (json.dumps(key).encode() + b":" + raw for key, raw in fields.items())
-    return b"{" + b",".join(members) + b"}"
-
-
-def page(items, as_of=50):
-    return b'{"items":[%b],"has_more":false,"as_of":%d}' % (b",".join(items), as_of)
+class OneObjectStore:
+    """Keeps the spec of the object that was put last."""
 
+    def __init__(self):
+        self.spec = None
 
-def changes(items, as_of=50):
-    events = (b'{"object":%b,"deleted":false}' % raw for raw in items)
-    return b'{"events":[%b],"as_of":%d}' % (b",".join(events), as_of)
+    def put(self, _kind, _name, spec):
+        self.spec = spec
 
 
 def configuration():
-    class Store:
-        spec: object = None
-
-        def put(self, _kind, _name, spec):
-            self.spec = spec
-
-    store = Store()
+    """Return the spec of the configuration that the fleet of the tests has."""
+    store = OneObjectStore()
     Fleet(store, "").configure()
     return store.spec
 
@@ -154,11 +91,13 @@
 
 
 def neighbours():
+    """Return two entries of servers, as raw texts."""
     spec = json.dumps(ENTRY).encode()
     return [item(b'"i-1"', b"11", spec), item(b'"i-2"', b"12", spec)]
 
 
 def host_with_servers():
+    """Return the state of a host with two servers and a configuration."""
     steering = make_steering()
     server = json.dumps(ENTRY).encode()
     for kind, names in ((Kind.SERVER, ["i-1", "i-odd"]), (Kind.CONFIG, ["main"])):
@@ -169,52 +108,11 @@
     return steering
 
 
-def odd_items(draw, spec):
-    """Draw the raw text of an object, one part of which holds any value."""
-    raw = {key: json.dumps(value).encode() for key, value in spec.items()}
-    where = draw(st.sampled_from([*raw, "spec", "name", "revision", "metadata", "all"]))
-    value = draw(VALUES)
-    if where == "all":
-        return value
-    if where == "metadata":
-        return b'{"metadata":%b,"spec":%b}' % (value, raw_object(raw))
-    if where in raw:
-        raw[where] = value
-    name = value if where == "name" else b'"i-odd"'
-    revision = value if where == "revision" else b"13"
-    return item(name, revision, value if where == "spec" else raw_object(raw))
-
-
-def odd_configuration(draw, spec):
-    """Draw the raw text of a configuration with any value at any place in it."""
-    place = draw(
-        st.sampled_from(
-            [
-                ("version",),
-                ("limits",),
-                *(("limits", field) for field in spec["limits"]),
-                ("services", "calendar"),
-                *(("services", "calendar", f) for f in spec["services"]["calendar"]),
-                ("routes", "safe"),
-                *(("routes", "safe", field) for field in spec["routes"]["safe"]),
-                ("routes", "safe", "traffic_split"),
-            ]
-        )
-    )
-    mark = "<any value>"
-    changed = copy.deepcopy(spec)
-    *path, last = place
-    inner = functools.reduce(lambda found, key: found[key], path, changed)
-    inner[last] = mark
-    raw = json.dumps(changed).encode().replace(json.dumps(mark).encode(), draw(VALUES))
-    return item(b'"main"', b"13", raw)
-
-
 @given(st.data(), st.booleans())
 def test_no_entry_of_another_writer_hides_the_servers_beside_it(data, watched):
     # Guards against one entry that cannot be read and ends the requests placed there,
     # or stops the list of servers on all hosts.
-    odd = odd_items(data.draw, ENTRY)
+    odd = odd_object(data.draw, ENTRY)
     first, second = neighbours()
     body = (changes if watched else page)([first, odd, second])
     update = through_store(Kind.SERVER, body, watched=watched)
@@ -241,7 +139,7 @@
     # ends the reading of its kind, or changes what the readable ones say.
     kind = data.draw(st.sampled_from([Kind.CONFIG, Kind.EVACUATION, Kind.QUARANTINE]))
     is_config = kind is Kind.CONFIG
-    draw = odd_configuration if is_config else odd_items
+    draw = odd_configuration if is_config else odd_object
     odd = draw(data.draw, SPECS[kind])
     good_name = b'"main"' if is_config else b'"i-1"'
     good = item(good_name, b"12", json.dumps(SPECS[kind]).encode())
@@ -263,7 +161,7 @@
 @given(st.data())
 def test_no_entry_of_another_writer_is_handed_to_callers_as_a_host(data):
     # Guards against a registered host whose address no caller can use.
-    odd = odd_items(data.draw, HOST)
+    odd = odd_object(data.draw, HOST)
     good = json.dumps(HOST).encode()
     store = ObjectStore("127.0.0.1:1")
     body = page([item(b'"h-1"', b"11", good), odd, item(b'"h-2"', b"12", good)])
@@ -279,7 +177,7 @@
 @given(st.data())
 def test_an_object_is_read_in_one_way_whatever_stands_beside_it(data):
     # Guards against two ways to read an object that do not agree.
-    raw = odd_items(data.draw, ENTRY)
+    raw = odd_object(data.draw, ENTRY)
     beside = item(b'"i-2"', b"12", b"[" * DEEP + b"]" * DEEP)
     alone, together = (read_page(page(items)) for items in ([raw], [raw, beside]))
     first, second = (read(page_.items[0]) for page_ in (alone, together))
