--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -190,6 +190,7 @@
 
     async def _send_without_end(self, exchange: Exchange, request_id: str) -> None:
         first, rest = ENDLESS[self.behaviour.endless]
+        # An exchange sends responses only, so these bytes go to its transport.
         transport = exchange._conn.transport
         transport.write(first.replace(b"%s", request_id.encode()))
         while not exchange.gone:
