--- a/bench/soak/foreign.py
+++ b/bench/soak/foreign.py
@@ -69,7 +69,8 @@
     for number in range(OBJECTS):
         kind = rng.choice(sorted(FIELDS_OF))
         spec = dict(FIELDS_OF[kind])
-        # Any field may be odd but the address, or nothing keeps it from being used.
+        # An odd value in another field of a server may be a valid one, and the address
+        # beside it would be used.
         field = "address" if kind == "servers" else rng.choice(sorted(spec))
         value = rng.randrange(len(ODD_VALUES))
         spec[field] = mark(value)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -68,17 +68,21 @@
 }
 
 
-def sends_without_end(kind):
+async def write_until_closed(writer, rest):
+    """Write the same bytes again and again until the connection is closed."""
+    with contextlib.suppress(ConnectionError):
+        while not writer.is_closing():
+            writer.write(rest)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+
+def sends_without_end(first, rest):
     """Return the behaviour of a server that answers and goes on sending."""
-    first, rest = KINDS[kind]
 
     async def behave(received, writer):
         writer.write(first(received.request_id))
-        with contextlib.suppress(ConnectionError):
-            while not writer.is_closing():
-                writer.write(rest)
-                await writer.drain()
-                await asyncio.sleep(0)
+        await write_until_closed(writer, rest)
         return False
 
     return behave
@@ -105,7 +109,7 @@
     stalls = Stalls()
     async with fleet() as env:
         env.configure(timeout_s=2.0)
-        bad = await env.add_server(sends_without_end(kind), slots=40)
+        bad = await env.add_server(sends_without_end(*KINDS[kind]), slots=40)
         for _ in range(2):
             await env.add_server(answers_at_once, slots=40)
         app = await env.ready(await env.add_host())
@@ -125,18 +129,11 @@
 @in_loop
 async def test_an_answer_without_end_leaves_the_others_their_time():
     # Guards against a loop that parses one answer in tiny parts and nothing else.
-    async def behave(received, writer):
-        writer.write(
-            answer(received.request_id, framing="close").partition(b"Connection")[0]
-            + b"Transfer-Encoding: chunked\r\n\r\n"
-        )
-        with contextlib.suppress(ConnectionError):
-            while not writer.is_closing():
-                writer.write(chunks_of(1) * 5000)
-                await writer.drain()
-                await asyncio.sleep(0)
-        return False
+    def head(request_id):
+        unframed = answer(request_id, framing="close").partition(b"Connection")[0]
+        return unframed + b"Transfer-Encoding: chunked\r\n\r\n"
 
+    behave = sends_without_end(head, chunks_of(1) * 5000)
     async with fleet() as env:
         env.configure(timeout_s=2.0)
         bad = await env.add_server(behave, slots=40)
@@ -158,10 +155,7 @@
 async def sends_and_reads_nothing(reader, writer):
     """Serve a connection: read the head of a request and send without end."""
     await reader.readuntil(b"\r\n\r\n")
-    with contextlib.suppress(ConnectionError):
-        while not writer.is_closing():
-            writer.write(INTERIM * 1200)
-            await writer.drain()
+    await write_until_closed(writer, INTERIM * 1200)
     writer.transport.abort()
 
 
@@ -211,10 +205,7 @@
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         writer.write(first)
-        with contextlib.suppress(ConnectionError):
-            while not writer.is_closing():
-                writer.write(rest)
-                await writer.drain()
+        await write_until_closed(writer, rest)
         writer.transport.abort()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/tests/test_gateway_store.py
+++ b/tests/test_gateway_store.py
@@ -30,9 +30,7 @@
     async with fleet() as env:
         env.configure()
         await env.add_server(answers_at_once)
-        apps = [await env.add_host(domain=domain) for domain in ("a1", "a2", "b1")]
-        for app in apps:
-            await env.ready(app)
+        apps = await env.ready_hosts("a1", "a2", "b1")
         env.configure(version=4, path_prefix="/moved/")
         for app in apps:
             await until(lambda app=app: app.gateway.steering.table.config.version == 4)
@@ -84,9 +82,7 @@
     async with fleet() as env:
         env.configure()
         await env.add_server(answers_at_once)
-        apps = [await env.add_host(domain=domain) for domain in ("a1", "a2", "b1")]
-        for app in apps:
-            await env.ready(app)
+        apps = await env.ready_hosts("a1", "a2", "b1")
         for kind in Kind:
             await until(lambda kind=kind: len(watching_hosts(apps, kind)) == 1)
         env.configure(version=5)
@@ -102,9 +98,7 @@
     async with fleet() as env:
         env.configure()
         await env.add_server(answers_at_once)
-        apps = [await env.add_host(domain=domain) for domain in ("a1", "a2", "b1")]
-        for app in apps:
-            await env.ready(app)
+        apps = await env.ready_hosts("a1", "a2", "b1")
         await until(lambda: len(watching_hosts(apps, Kind.CONFIG)) == 1)
         dead = watching_hosts(apps, Kind.CONFIG)[0]
         env.tasks[apps.index(dead)].cancel()
